--- /dev/null
+++ b/pkg/node/claims.go
@@ -0,0 +1,196 @@
+package node
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/tanagerlb/tanagerlb/pkg/claim"
+	"github.com/tanagerlb/tanagerlb/pkg/permit"
+	"github.com/tanagerlb/tanagerlb/pkg/rank"
+	"github.com/tanagerlb/tanagerlb/pkg/record"
+	"github.com/tanagerlb/tanagerlb/pkg/spec"
+)
+
+// StoreName is what the granter of the weight store's permits claims.
+const StoreName = "store"
+
+// claimAgain is the time after which a claim that was not read is appended
+// again.
+const claimAgain = time.Second
+
+// reference is an engine as a document describes it.
+type reference struct {
+	engine spec.Engine
+	base   string
+}
+
+// EngineName returns the name of a service's engine within the system.
+func EngineName(service, engine string) string { return service + "/" + engine }
+
+// refer collects the engines of the documents in force.
+func (n *Node) refer() {
+	clear(n.known)
+	for service, e := range n.documents.Editions() {
+		for _, engine := range e.Document.Engines {
+			n.known[EngineName(service, engine.Name)] = reference{engine: engine, base: e.Document.Base}
+		}
+	}
+}
+
+// claim claims the engines that this VM should own and releases those that it
+// should not.
+func (n *Node) claim(now time.Time) []Action {
+	if !n.caught[claim.Stream] || !n.readable(claim.Stream) {
+		return nil
+	}
+	var actions []Action
+	live := names(n.members.Live(now))
+	claimable := append(slices.Sorted(maps.Keys(n.known)), StoreName)
+	for _, name := range claimable {
+		actions = append(actions, n.claimOne(now, name, live)...)
+	}
+	for _, name := range slices.Sorted(maps.Keys(n.engines)) {
+		actions = append(actions, n.release(now, name, live)...)
+	}
+	return actions
+}
+
+func (n *Node) claimOne(now time.Time, name string, live []string) []Action {
+	if rank.First(name, live) != n.config.Self.Name || now.Sub(n.claiming[name]) < claimAgain {
+		return nil
+	}
+	h, ok := n.claims.Of(name)
+	if ok && !h.Free && n.inForce(h, live) {
+		return nil
+	}
+	n.claiming[name] = now
+	return appendClaim(claim.Claim{Engine: name, VM: n.config.Self.Name, Boot: n.config.Self.Boot, Prev: h.Fence})
+}
+
+// inForce tells whether the owner of a claim may still act on it.
+func (n *Node) inForce(h claim.Holding, live []string) bool {
+	if n.members.Gone(h.Boot) {
+		return false
+	}
+	if h.VM == n.config.Self.Name {
+		return h.Boot == n.config.Self.Boot
+	}
+	return slices.Contains(live, h.VM) || n.members.LeavingNow(h.VM)
+}
+
+// release gives up an engine when this VM leaves, when the engine is in no
+// document any more, or when another VM should own it for long enough.
+func (n *Node) release(now time.Time, name string, live []string) []Action {
+	o := n.engines[name]
+	if now.Sub(o.released) < claimAgain {
+		return nil
+	}
+	_, referred := n.known[name]
+	preferred := rank.First(name, live) == n.config.Self.Name
+	if preferred && referred {
+		delete(n.preferred, name)
+		return nil
+	}
+	if n.preferred[name].IsZero() {
+		n.preferred[name] = now
+	}
+	settled := now.Sub(n.preferred[name]) >= n.config.Timing.Settle
+	if !settled && !n.members.Leaving() && referred {
+		return nil
+	}
+	o.closing = true
+	actions := n.refuseWaiting(o, Handover)
+	if o.sched.Ordered() {
+		return actions
+	}
+	o.released = now
+	free := claim.Claim{
+		Engine: name,
+		VM:     n.config.Self.Name,
+		Boot:   n.config.Self.Boot,
+		Prev:   o.holding.Fence,
+		Free:   true,
+		Until:  n.longest(now, name),
+		Dirty:  o.dirty,
+	}
+	return append(actions, appendClaim(free)...)
+}
+
+// longest returns how long the running requests of an engine may run on.
+func (n *Node) longest(now time.Time, name string) time.Duration {
+	var longest time.Duration
+	for _, c := range n.calls {
+		if c.engine == name && c.running {
+			longest = max(longest, c.deadline.Sub(now))
+		}
+	}
+	return longest
+}
+
+func appendClaim(c claim.Claim) []Action {
+	data, err := record.Encode(claim.Kind, c)
+	if err != nil {
+		return nil // cannot happen: a Claim always encodes
+	}
+	return []Action{Append{Stream: claim.Stream, Data: data}}
+}
+
+func (n *Node) readClaims(now time.Time, records []record.Record) []Action {
+	var actions []Action
+	for _, r := range records {
+		c, counts, err := n.claims.Apply(now, r)
+		if err != nil {
+			actions = append(actions, ignored(claim.Stream, err)...)
+			continue
+		}
+		if counts {
+			n.dirty = true
+			actions = append(actions, n.claimed(c)...)
+		}
+	}
+	return actions
+}
+
+// claimed follows a change of ownership.
+func (n *Node) claimed(c claim.Claim) []Action {
+	h, _ := n.claims.Of(c.Engine)
+	delete(n.claiming, c.Engine)
+	mine := !h.Free && h.VM == n.config.Self.Name && h.Boot == n.config.Self.Boot
+	if c.Engine == StoreName {
+		n.claimedStore(h, mine)
+		return nil
+	}
+	o, owned := n.engines[c.Engine]
+	switch {
+	case mine && owned:
+		o.holding = h
+		return nil
+	case mine:
+		n.own(h)
+		return nil
+	case owned:
+		return n.disown(o)
+	default:
+		return nil
+	}
+}
+
+func (n *Node) claimedStore(h claim.Holding, mine bool) {
+	switch {
+	case !mine:
+		n.granter = nil
+	case n.granterFor != h.Fence || n.granter == nil:
+		quiet := n.lease.Ready(h)
+		if h.Before != "" {
+			quiet = quiet.Add(n.config.Timing.PermitOK)
+		}
+		n.granterFor = h.Fence
+		n.granter = permit.New(permit.Config{
+			Rate: n.config.Store.Rate,
+			Most: n.config.Store.Most,
+			Hold: n.config.Timing.PermitOK,
+			Wait: permitWait,
+		}, quiet)
+	}
+}
--- /dev/null
+++ b/pkg/node/engine.go
@@ -0,0 +1,318 @@
+package node
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/tanagerlb/tanagerlb/pkg/claim"
+	"github.com/tanagerlb/tanagerlb/pkg/crash"
+	"github.com/tanagerlb/tanagerlb/pkg/record"
+	"github.com/tanagerlb/tanagerlb/pkg/slots"
+	"github.com/tanagerlb/tanagerlb/pkg/spec"
+)
+
+// shortRetry is the advice when to come back after a refusal that a change of
+// ownership causes.
+const shortRetry = 200 * time.Millisecond
+
+// owned is an engine that this VM owns.
+type owned struct {
+	name     string
+	ref      reference
+	holding  claim.Holding
+	sched    *slots.Engine
+	ready    time.Time // before, no order is given
+	closing  bool      // gives no more orders, to be released
+	released time.Time // when the release was appended
+	dirty    bool      // an order may still take effect
+	polled   time.Time
+	boot     string // incarnation of the engine
+	crashed  string // incarnation that crashed
+	seen     bool   // reported since it was owned
+	down     bool
+	evicted  map[slots.Instance]bool // taken over and unloaded since
+}
+
+func (n *Node) own(h claim.Holding) {
+	ref := n.known[h.Engine]
+	t := n.config.Timing
+	n.engines[h.Engine] = &owned{
+		name:    h.Engine,
+		ref:     ref,
+		holding: h,
+		ready:   n.lease.Ready(h),
+		evicted: map[slots.Instance]bool{},
+		sched: slots.New(slots.Config{
+			Slots:   ref.engine.Slots,
+			Batch:   ref.engine.Batch,
+			Loads:   1,
+			Queue:   t.Queue,
+			Weights: n.config.Weights,
+			Load:    n.config.Store.Load,
+			Starve:  t.Starve,
+			Backoff: t.Backoff,
+			Memory:  t.Memory,
+			Fence:   h.Fence,
+		}),
+	}
+}
+
+// disown gives up an engine that another VM owns now. What runs goes on.
+func (n *Node) disown(o *owned) []Action {
+	actions := n.refuseWaiting(o, Handover)
+	delete(n.engines, o.name)
+	delete(n.preferred, o.name)
+	n.dropPermits(o)
+	return actions
+}
+
+// refuseWaiting refuses the requests that wait at an engine, so that they go
+// elsewhere.
+func (n *Node) refuseWaiting(o *owned, reason Reason) []Action {
+	flushed, decided := o.sched.Flush()
+	actions := n.translate(o, decided)
+	for _, r := range flushed {
+		delete(n.calls, r.ID)
+		actions = append(actions, Refuse{ID: r.ID, Reason: reason, After: shortRetry})
+	}
+	return actions
+}
+
+// work polls the owned engines and lets their schedulers go on.
+func (n *Node) work(now time.Time) []Action {
+	var actions []Action
+	for _, name := range slices.Sorted(maps.Keys(n.engines)) {
+		o := n.engines[name]
+		if ref, ok := n.known[name]; ok {
+			o.ref = ref
+		}
+		if now.Sub(o.polled) >= n.config.Timing.Poll {
+			o.polled = now
+			actions = append(actions, Poll{Engine: name, Address: o.ref.engine.Address})
+		}
+		if n.actable(now, o) == NoLease {
+			actions = append(actions, n.refuseWaiting(o, NoLease)...)
+		}
+		actions = append(actions, n.advance(now, o)...)
+	}
+	return actions
+}
+
+// advance lets an engine's scheduler go on, if this VM may act.
+func (n *Node) advance(now time.Time, o *owned) []Action {
+	if n.actable(now, o) != "" {
+		return nil
+	}
+	return n.translate(o, o.sched.Next(now))
+}
+
+// actable returns why an engine cannot be used now, or "".
+func (n *Node) actable(now time.Time, o *owned) Reason {
+	switch {
+	case o.closing:
+		return Handover
+	case now.Before(o.ready):
+		return OwnerNotReady
+	case !n.mayAct(now):
+		return NoLease
+	case o.down || !o.seen:
+		return EngineDown
+	default:
+		return ""
+	}
+}
+
+func (n *Node) arrived(now time.Time, e Arrived) []Action {
+	o, ok := n.engines[e.Engine]
+	if !ok {
+		return []Action{Refuse{ID: e.Request.ID, Reason: NotOwner, After: shortRetry}}
+	}
+	if reason := n.actable(now, o); reason != "" {
+		return []Action{Refuse{ID: e.Request.ID, Reason: reason, After: shortRetry}}
+	}
+	if n.suspects.Condemned(e.Print) {
+		return []Action{Refuse{ID: e.Request.ID, Reason: Condemned}}
+	}
+	r := e.Request
+	r.Suspect = r.Suspect || n.suspects.Suspect(now, e.Print)
+	n.calls[r.ID] = call{engine: e.Engine, print: e.Print, suspect: r.Suspect, deadline: r.Deadline}
+	actions := n.translate(o, o.sched.Add(now, r))
+	return append(actions, n.advance(now, o)...)
+}
+
+func (n *Node) withdrawn(now time.Time, e Withdrawn) []Action {
+	c, ok := n.calls[e.ID]
+	if !ok || c.running {
+		return nil
+	}
+	delete(n.calls, e.ID)
+	o, owned := n.engines[c.engine]
+	if !owned {
+		return nil
+	}
+	o.sched.Cancel(e.ID)
+	return n.advance(now, o)
+}
+
+func (n *Node) ended(now time.Time, e Ended) []Action {
+	c, ok := n.calls[e.ID]
+	if !ok {
+		return nil
+	}
+	var actions []Action
+	o, owned := n.engines[c.engine]
+	switch e.Result {
+	case Finished:
+		n.suspects.Clear(c.print)
+	case Crashed:
+		if owned && c.boot == o.boot {
+			actions = append(actions, n.crash(now, o)...)
+		}
+	case Missing:
+		if owned {
+			o.sched.Lost(c.instance)
+		}
+	case Canceled, Failed:
+	}
+	delete(n.calls, e.ID)
+	if owned {
+		o.sched.Finish(now, e.ID)
+		actions = append(actions, n.advance(now, o)...)
+	}
+	return actions
+}
+
+// crash takes that an engine crashed under what it runs.
+func (n *Node) crash(now time.Time, o *owned) []Action {
+	if o.crashed == o.boot {
+		return nil
+	}
+	o.crashed = o.boot
+	var running []crash.Running
+	for _, c := range n.calls {
+		if c.engine == o.name && c.running && c.boot == o.boot {
+			running = append(running, crash.Running{Print: c.print, Suspect: c.suspect})
+		}
+	}
+	var actions []Action
+	for _, p := range n.suspects.Crashed(now, running) {
+		if data, err := record.Encode(crash.Kind, crash.Condemned{Print: p}); err == nil {
+			actions = append(actions, Append{Stream: crash.Stream, Data: data})
+		}
+	}
+	return append(actions, n.down(Down{Engine: o.name})...)
+}
+
+// down takes that an engine does not answer: what waits for it goes elsewhere.
+func (n *Node) down(e Down) []Action {
+	o, ok := n.engines[e.Engine]
+	if !ok || o.down {
+		return nil
+	}
+	o.down = true
+	return n.refuseWaiting(o, EngineDown)
+}
+
+// reported takes an engine's load report.
+func (n *Node) reported(now time.Time, e Reported) []Action {
+	o, ok := n.engines[e.Engine]
+	if !ok {
+		return nil
+	}
+	var actions []Action
+	if o.boot != "" && o.boot != e.Boot {
+		actions = append(actions, n.crash(now, o)...)
+		o.sched.Reset()
+		clear(o.evicted)
+	}
+	o.boot, o.down, o.seen = e.Boot, false, true
+	for _, name := range e.Instances {
+		n.adopt(now, o, name)
+	}
+	return append(actions, n.advance(now, o)...)
+}
+
+// adopt takes over an instance that an owner before loaded. It may be used if
+// that owner released the engine, or if the engine refuses its late orders,
+// and unloaded once nothing of that owner can run on it.
+func (n *Node) adopt(now time.Time, o *owned, name string) {
+	found, err := slots.ParseInstance(name)
+	if err != nil {
+		found = slots.Instance{Adapter: spec.Adapter{Name: strings.ToValidUTF8(name, "")}}
+	}
+	if found.Fence == o.holding.Fence || o.evicted[found] {
+		return
+	}
+	clean := o.holding.Clean || n.members.Gone(o.holding.Before)
+	usable := err == nil && (clean || o.ref.engine.Fences)
+	foreign := err != nil || !clean || now.Before(o.holding.Drain)
+	o.sched.Adopt(found, usable, foreign)
+}
+
+func (n *Node) loadEnded(now time.Time, e LoadEnded) []Action {
+	actions := n.returnPermit(e.Engine, e.Instance.Adapter)
+	o, ok := n.engines[e.Engine]
+	if !ok {
+		return actions
+	}
+	o.sched.Loaded(now, e.Instance, e.OK)
+	return append(actions, n.advance(now, o)...)
+}
+
+func (n *Node) unloadEnded(now time.Time, e UnloadEnded) []Action {
+	o, ok := n.engines[e.Engine]
+	if !ok {
+		return nil
+	}
+	if !e.OK {
+		o.dirty = true
+	}
+	if e.OK && e.Instance.Fence != o.holding.Fence {
+		o.evicted[e.Instance] = true
+	}
+	o.sched.Unloaded(e.Instance, e.OK)
+	return n.advance(now, o)
+}
+
+// translate turns the actions of an engine's scheduler into those of the VM.
+func (n *Node) translate(o *owned, decided []slots.Action) []Action {
+	var actions []Action
+	address := o.ref.engine.Address
+	for _, d := range decided {
+		switch d := d.(type) {
+		case slots.Start:
+			actions = append(actions, n.start(o, d))
+		case slots.Refuse:
+			delete(n.calls, d.Request.ID)
+			actions = append(actions, Refuse{ID: d.Request.ID, Reason: Reason(d.Reason), After: d.After})
+		case slots.Load:
+			actions = append(actions, Load{Engine: o.name, Address: address, Instance: d.Instance, Fence: o.holding.Fence})
+		case slots.Unload:
+			actions = append(actions, Unload{Engine: o.name, Address: address, Instance: d.Instance, Fence: o.holding.Fence})
+		case slots.Want:
+			n.askPermit(o.name, d)
+		case slots.Drop:
+			actions = append(actions, n.returnPermit(o.name, d.Adapter)...)
+		}
+	}
+	return actions
+}
+
+func (n *Node) start(o *owned, s slots.Start) Action {
+	c := n.calls[s.Request.ID]
+	c.running, c.instance, c.boot = true, s.Instance, o.boot
+	n.calls[s.Request.ID] = c
+	return Start{
+		ID:       s.Request.ID,
+		Engine:   o.name,
+		Address:  o.ref.engine.Address,
+		Instance: s.Instance,
+		Stalled:  s.Stalled,
+		Boot:     o.boot,
+		Fill:     float64(o.sched.Running()) / float64(o.ref.engine.Batch),
+		Spread:   o.sched.Spread(s.Request.Adapter),
+		Queue:    o.sched.Running() + o.sched.Waiting(),
+	}
+}
--- /dev/null
+++ b/pkg/node/log.go
@@ -0,0 +1,218 @@
+package node
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/tanagerlb/tanagerlb/pkg/claim"
+	"github.com/tanagerlb/tanagerlb/pkg/crash"
+	"github.com/tanagerlb/tanagerlb/pkg/docs"
+	"github.com/tanagerlb/tanagerlb/pkg/keys"
+	"github.com/tanagerlb/tanagerlb/pkg/member"
+	"github.com/tanagerlb/tanagerlb/pkg/rank"
+	"github.com/tanagerlb/tanagerlb/pkg/record"
+)
+
+// follow keeps this VM reading the streams that it needs.
+func (n *Node) follow(now time.Time) []Action {
+	var actions []Action
+	want := map[string]bool{docs.Stream: true, claim.Stream: true, crash.Stream: true}
+	live := names(n.members.Live(now))
+	for p := range n.config.Keys.Partitions {
+		stream := keys.Stream(p)
+		if KeeperOf(stream, live) == n.config.Self.Name || n.keys.Waits(p) {
+			want[stream] = true
+		}
+	}
+	for _, stream := range slices.Sorted(maps.Keys(want)) {
+		if !n.followed[stream] {
+			n.followed[stream] = true
+			actions = append(actions, Follow{Stream: stream})
+		}
+	}
+	for _, stream := range slices.Sorted(maps.Keys(n.followed)) {
+		if want[stream] {
+			continue
+		}
+		delete(n.followed, stream)
+		if p, ok := keys.ParseStream(stream); ok {
+			n.keys.Forget(p)
+		}
+		actions = append(actions, Unfollow{Stream: stream})
+	}
+	return actions
+}
+
+// KeeperOf returns the VM that keeps the keys of a stream.
+func KeeperOf(stream string, live []string) string { return rank.First(stream, live) }
+
+func names(vms []member.VM) []string {
+	names := make([]string, len(vms))
+	for i, vm := range vms {
+		names[i] = vm.Name
+	}
+	return names
+}
+
+func (n *Node) logRead(now time.Time, e LogRead) []Action {
+	if !n.followed[e.Stream] {
+		return nil
+	}
+	if n.failed[e.Stream] {
+		n.failed[e.Stream] = false
+		n.dirty = true
+	}
+	tail := e.Batch.Next >= e.Batch.Tail
+	actions := n.read(now, e, tail)
+	if tail && !n.caught[e.Stream] {
+		n.caught[e.Stream] = true
+		n.dirty = true
+	}
+	return actions
+}
+
+func (n *Node) read(now time.Time, e LogRead, tail bool) []Action {
+	switch e.Stream {
+	case docs.Stream:
+		return n.readDocuments(e.Batch.Records)
+	case claim.Stream:
+		actions := n.readClaims(now, e.Batch.Records)
+		if tail {
+			n.lease.Confirm(e.Sent)
+		}
+		return actions
+	case crash.Stream:
+		return n.readCrashes(e.Batch.Records)
+	default:
+		p, _ := keys.ParseStream(e.Stream)
+		decided, errs := n.keys.Read(now, p, e.Batch.Records, tail)
+		return append(n.keyActions(decided), ignored(e.Stream, errs...)...)
+	}
+}
+
+func ignored(stream string, errs ...error) []Action {
+	var actions []Action
+	for _, err := range errs {
+		actions = append(actions, Ignored{Stream: stream, Err: err})
+	}
+	return actions
+}
+
+func (n *Node) readDocuments(records []record.Record) []Action {
+	var actions []Action
+	for _, r := range records {
+		verdict, err := n.documents.Apply(r)
+		if err != nil {
+			actions = append(actions, ignored(docs.Stream, err)...)
+		}
+		if verdict.Service != "" {
+			actions = append(actions, Judged{Verdict: verdict})
+		}
+	}
+	if len(records) > 0 {
+		n.dirty = true
+		n.refer()
+	}
+	return actions
+}
+
+func (n *Node) readCrashes(records []record.Record) []Action {
+	var actions []Action
+	for _, r := range records {
+		if err := n.suspects.Apply(r); err != nil {
+			actions = append(actions, ignored(crash.Stream, err)...)
+		}
+	}
+	return actions
+}
+
+func (n *Node) logFailed(e LogFailed) []Action {
+	if !n.followed[e.Stream] {
+		return nil
+	}
+	if !n.failed[e.Stream] {
+		n.failed[e.Stream] = true
+		n.dirty = true
+	}
+	if p, ok := keys.ParseStream(e.Stream); ok {
+		return n.keyActions(n.keys.Down(p))
+	}
+	return nil
+}
+
+// readable tells whether a stream could be read when it was tried last.
+func (n *Node) readable(stream string) bool { return !n.failed[stream] }
+
+// keyActions turns the actions of the keys into those of the VM.
+func (n *Node) keyActions(decided []keys.Action) []Action {
+	var actions []Action
+	for _, d := range decided {
+		switch d := d.(type) {
+		case keys.Append:
+			actions = append(actions, Append{Stream: keys.Stream(d.Partition), Data: d.Data})
+		case keys.Run:
+			actions = append(actions, Run{Call: d.Call})
+		case keys.Answer:
+			actions = append(actions, Answer{Answer: d})
+		}
+	}
+	return actions
+}
+
+// restate appends documents and claims again before the log drops them. The
+// first live VM in the order of the record does it.
+func (n *Node) restate(now time.Time) []Action {
+	if now.Sub(n.restated[""]) < n.config.Timing.Retain/retainParts || !n.readable(docs.Stream) {
+		return nil
+	}
+	if n.restated[""].IsZero() {
+		n.restated[""] = now
+		return nil
+	}
+	n.restated[""] = now
+	var actions []Action
+	live := names(n.members.Live(now))
+	for service, e := range n.documents.Editions() {
+		if rank.First("restate "+service, live) != n.config.Self.Name {
+			continue
+		}
+		if data, err := e.Restatement(); err == nil {
+			actions = append(actions, Append{Stream: docs.Stream, Data: data})
+		}
+	}
+	actions = append(actions, n.restateClaims(live)...)
+	slices.SortFunc(actions, compareAppends)
+	return actions
+}
+
+// retainParts is how often a record in force is stated again within the time
+// that the log keeps records.
+const retainParts = 4
+
+func compareAppends(a, b Action) int {
+	x, y := a.(Append), b.(Append) //nolint:forcetypeassert // only appends are passed
+	if x.Stream != y.Stream {
+		if x.Stream < y.Stream {
+			return -1
+		}
+		return 1
+	}
+	return slices.Compare(x.Data, y.Data)
+}
+
+func (n *Node) restateClaims(live []string) []Action {
+	var actions []Action
+	for _, name := range n.claims.Names() {
+		if rank.First("restate "+name, live) != n.config.Self.Name {
+			continue
+		}
+		h, _ := n.claims.Of(name)
+		again := h.Claim
+		again.Fence = h.Fence
+		if data, err := record.Encode(claim.Kind, again); err == nil {
+			actions = append(actions, Append{Stream: claim.Stream, Data: data})
+		}
+	}
+	return actions
+}
--- /dev/null
+++ b/pkg/spec/parse.go
@@ -0,0 +1,177 @@
+package spec
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"slices"
+	"time"
+
+	"github.com/tanagerlb/tanagerlb/pkg/check"
+)
+
+// Bounds of a document.
+const (
+	MaxBytes        = 4 << 20 // size of a document's text, in bytes
+	MaxAdapters     = 100_000
+	MaxEngines      = 10_000
+	MaxSlots        = 1_024
+	MaxBatch        = 4_096
+	MinDeadline     = 10 * time.Millisecond
+	MaxDeadline     = time.Hour
+	DefaultDeadline = 30 * time.Second
+)
+
+var (
+	namePattern    = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]{0,63}$`)
+	adapterPattern = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._/-]{0,127}$`)
+)
+
+// Parse decodes and checks a document. All findings are returned together in
+// a *check.Error. If bases is not empty, the document's base model must be one
+// of them.
+func Parse(file string, text []byte, bases []string) (*Document, error) {
+	if len(text) > MaxBytes {
+		list := check.List{File: file}
+		list.Addf(1, 1, "document of %d bytes is larger than %d", len(text), MaxBytes)
+		return nil, list.Err()
+	}
+	d := &Document{}
+	c := &checker{tree: check.Decode(file, text, d), bases: bases}
+	c.document(d)
+	if err := c.tree.Err(); err != nil {
+		return nil, err
+	}
+	for i := range d.Calls {
+		if d.Calls[i].Deadline == 0 {
+			d.Calls[i].Deadline = DefaultDeadline
+		}
+	}
+	return d, nil
+}
+
+type checker struct {
+	tree  *check.Tree
+	bases []string
+}
+
+func (c *checker) document(d *Document) {
+	c.name("service", d.Service)
+	c.calls(d.Calls)
+	switch d.Kind {
+	case Model:
+		c.model(d)
+	case Plain:
+		c.plain(d)
+	default:
+		c.tree.At("kind", "must be model or plain")
+	}
+}
+
+func (c *checker) model(d *Document) {
+	c.name("base", d.Base)
+	if len(c.bases) > 0 && d.Base != "" && !slices.Contains(c.bases, d.Base) {
+		c.tree.At("base", "unknown base model %q", d.Base)
+	}
+	if len(d.Upstreams) > 0 {
+		c.tree.At("upstreams", "only for plain services")
+	}
+	if len(d.Engines) == 0 {
+		c.tree.At("engines", "at least one engine is needed")
+	}
+	c.count("engines", len(d.Engines), MaxEngines)
+	c.count("adapters", len(d.Adapters), MaxAdapters)
+	names, addresses := unique{}, unique{}
+	for i, e := range d.Engines {
+		path := fmt.Sprintf("engines[%d]", i)
+		c.name(path+".name", e.Name)
+		c.address(path+".address", e.Address)
+		c.between(path+".slots", e.Slots, MaxSlots)
+		c.between(path+".batch", e.Batch, MaxBatch)
+		c.unique(names, path+".name", e.Name)
+		c.unique(addresses, path+".address", e.Address.String())
+	}
+	c.adapters(d.Adapters)
+}
+
+func (c *checker) adapters(adapters []Adapter) {
+	names := unique{}
+	for i, a := range adapters {
+		path := fmt.Sprintf("adapters[%d]", i)
+		if !adapterPattern.MatchString(a.Name) {
+			c.tree.At(path+".name", "%q is not an adapter's name", a.Name)
+		}
+		c.name(path+".version", a.Version)
+		c.unique(names, path+".name", a.Name)
+	}
+}
+
+func (c *checker) plain(d *Document) {
+	if len(d.Engines) > 0 {
+		c.tree.At("engines", "only for model services")
+	}
+	if len(d.Adapters) > 0 {
+		c.tree.At("adapters", "only for model services")
+	}
+	if len(d.Upstreams) == 0 {
+		c.tree.At("upstreams", "at least one upstream is needed")
+	}
+	names, addresses := unique{}, unique{}
+	for i, u := range d.Upstreams {
+		path := fmt.Sprintf("upstreams[%d]", i)
+		c.name(path+".name", u.Name)
+		c.address(path+".address", u.Address)
+		c.unique(names, path+".name", u.Name)
+		c.unique(addresses, path+".address", u.Address.String())
+	}
+}
+
+func (c *checker) calls(calls []Call) {
+	names := unique{}
+	for i, k := range calls {
+		path := fmt.Sprintf("calls[%d]", i)
+		c.name(path+".name", k.Name)
+		c.unique(names, path+".name", k.Name)
+		if _, ok := ParseUrgency(k.Urgency); !ok {
+			c.tree.At(path+".urgency", "must be urgent, normal or patient")
+		}
+		if k.Deadline != 0 && (k.Deadline < MinDeadline || k.Deadline > MaxDeadline) {
+			c.tree.At(path+".deadline", "must be between %s and %s", MinDeadline, MaxDeadline)
+		}
+	}
+}
+
+func (c *checker) name(path, name string) {
+	if !namePattern.MatchString(name) {
+		c.tree.At(path, "%q is not a name", name)
+	}
+}
+
+func (c *checker) address(path string, a netip.AddrPort) {
+	if !a.IsValid() || a.Port() == 0 {
+		c.tree.At(path, "needs an IP and port")
+	}
+}
+
+func (c *checker) between(path string, value, most int) {
+	if value < 1 || value > most {
+		c.tree.At(path, "must be between 1 and %d", most)
+	}
+}
+
+func (c *checker) count(path string, value, most int) {
+	if value > most {
+		c.tree.At(path, "more than %d", most)
+	}
+}
+
+// unique maps each value to the path where it stands first.
+type unique map[string]string
+
+func (c *checker) unique(seen unique, path, value string) {
+	if first, ok := seen[value]; ok {
+		c.tree.At(path, "%q stands already at %s", value, first)
+		return
+	}
+	seen[value] = path
+}
--- /dev/null
+++ b/pkg/spec/spec.go
@@ -0,0 +1,123 @@
+// Package spec provides the service document: what a team's service needs,
+// which of its calls may not be repeated, and how urgent each kind of call is.
+package spec
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Kind tells what sort of upstream a service has.
+type Kind string
+
+// Kinds of service.
+const (
+	Model Kind = "model" // served by model engines with adapters
+	Plain Kind = "plain" // served by ordinary HTTP upstreams
+)
+
+// Urgency orders calls; a lower value goes first.
+type Urgency int
+
+// Urgencies, the most urgent first.
+const (
+	Urgent Urgency = iota
+	Normal
+	Patient
+)
+
+// Urgencies is the number of urgencies.
+const Urgencies = 3
+
+// DefaultCall is the kind of call assumed when a request names none.
+const DefaultCall = "default"
+
+// Document is one version of a service's document.
+type Document struct {
+	Service   string     `yaml:"service"`
+	Kind      Kind       `yaml:"kind"`
+	Base      string     `yaml:"base,omitempty"` // base model of the adapters
+	Calls     []Call     `yaml:"calls,omitempty"`
+	Engines   []Engine   `yaml:"engines,omitempty"`
+	Upstreams []Upstream `yaml:"upstreams,omitempty"`
+	Adapters  []Adapter  `yaml:"adapters,omitempty"`
+}
+
+// Call describes one kind of call.
+type Call struct {
+	Name     string        `yaml:"name"`
+	Urgency  string        `yaml:"urgency,omitempty"` // urgent, normal or patient
+	Once     bool          `yaml:"once,omitempty"`    // may not be repeated
+	Deadline time.Duration `yaml:"deadline,omitempty"`
+}
+
+// Engine is a model engine that serves the document's base model.
+type Engine struct {
+	Name    string         `yaml:"name"`
+	Address netip.AddrPort `yaml:"address"`
+	Slots   int            `yaml:"slots"` // adapters resident at once
+	Batch   int            `yaml:"batch"` // sequences in one step
+	Fences  bool           `yaml:"fences,omitempty"`
+}
+
+// Upstream is an instance of a plain service.
+type Upstream struct {
+	Name    string         `yaml:"name"`
+	Address netip.AddrPort `yaml:"address"`
+}
+
+// Adapter names a LoRA adapter and the version to use.
+type Adapter struct {
+	Name    string `yaml:"name"`
+	Version string `yaml:"version"`
+}
+
+// String returns "name@version".
+func (a Adapter) String() string { return a.Name + "@" + a.Version }
+
+// ParseUrgency returns the urgency with the given name; an empty name is
+// Normal.
+func ParseUrgency(name string) (Urgency, bool) {
+	switch name {
+	case "urgent":
+		return Urgent, true
+	case "", "normal":
+		return Normal, true
+	case "patient":
+		return Patient, true
+	default:
+		return Normal, false
+	}
+}
+
+// String returns the name of the urgency.
+func (u Urgency) String() string {
+	switch u {
+	case Urgent:
+		return "urgent"
+	case Patient:
+		return "patient"
+	default:
+		return "normal"
+	}
+}
+
+// Rank returns the urgency of the call.
+func (c Call) Rank() Urgency {
+	u, _ := ParseUrgency(c.Urgency)
+	return u
+}
+
+// FindCall returns the kind of call with the given name. DefaultCall exists in
+// each document.
+func (d *Document) FindCall(name string) (Call, bool) {
+	for _, c := range d.Calls {
+		if c.Name == name {
+			return c, true
+		}
+	}
+	if name == DefaultCall && d.Kind == Model {
+		return Call{Name: DefaultCall, Deadline: DefaultDeadline}, true
+	}
+	return Call{}, false
+}
