feat(daemon): serve calls through real interfaces

goa for callers and operators, gRPC between VMs, and clients of the log, the VM list, model engines and plain services feed the pure decisions.

--- /dev/null
+++ b/internal/entry/invoke.go
@@ -0,0 +1,169 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/tanagerlb/tanagerlb/internal/keeper"
+	"github.com/tanagerlb/tanagerlb/internal/plain"
+	"github.com/tanagerlb/tanagerlb/pkg/docs"
+	"github.com/tanagerlb/tanagerlb/pkg/keys"
+	"github.com/tanagerlb/tanagerlb/pkg/member"
+	"github.com/tanagerlb/tanagerlb/pkg/retry"
+	"github.com/tanagerlb/tanagerlb/pkg/spec"
+)
+
+// PlainCall is a caller's call of a plain service.
+type PlainCall struct {
+	Service string
+	Call    string
+	Key     string // idempotency key, if any
+	First   bool   // the caller never sent the key before
+	Body    string
+	Caller  string // whose retry budget is used
+}
+
+// PlainAnswer is the reply of the service.
+type PlainAnswer struct {
+	Reply    keys.Reply
+	Repeated bool // it is the reply to an earlier call with the same key
+}
+
+// Invoke runs a call of a plain service.
+func (e *Entry) Invoke(ctx context.Context, c PlainCall) (*PlainAnswer, *Refusal) {
+	e.active.Add(1)
+	defer e.active.Add(-1)
+	edition, call, refusal := e.admit(c.Service, c.Call, spec.Plain)
+	if refusal != nil {
+		return nil, refusal
+	}
+	deadline := time.Now().Add(call.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	if call.Once {
+		return e.once(ctx, c, deadline)
+	}
+	if e.config.View().Leaving {
+		return nil, e.refuse(Refused, keys.NotRun, VMLeaving, shortRetry)
+	}
+	return e.repeat(ctx, c, edition, deadline)
+}
+
+// repeat runs a call that may be repeated.
+func (e *Entry) repeat(ctx context.Context, c PlainCall, edition *docs.Edition, deadline time.Time) (*PlainAnswer, *Refusal) {
+	budgets := []string{"caller " + c.Caller, "service " + c.Service}
+	e.earn(budgets...)
+	addresses := keeper.Upstreams(edition, e.NewID())
+	sent := false
+	for number := 1; ; number++ {
+		address := addresses[(number-1)%len(addresses)]
+		reply, err := e.config.Services.Call(ctx, address, plain.Call{Name: c.Call, Key: c.Key, Body: c.Body})
+		if err == nil {
+			e.config.Metrics.Done("plain")
+			return &PlainAnswer{Reply: keys.Reply(reply)}, nil
+		}
+		sent = sent || !errors.Is(err, plain.ErrNotSent)
+		attempt := retry.Attempt{Number: number, Final: ctx.Err() != nil, Deadline: deadline}
+		switch d := e.next(time.Now(), attempt, budgets...).(type) {
+		case retry.Again:
+			e.config.Metrics.Retried(UpstreamsDown)
+			pause(ctx, d.After)
+		case retry.GiveUp:
+			e.config.Metrics.GaveUp(string(d.Reason))
+			if sent {
+				return nil, e.refuse(Unknown, keys.Unknown, string(keys.Broken), shortRetry)
+			}
+			return nil, e.refuse(Refused, keys.NotRun, UpstreamsDown, shortRetry)
+		}
+	}
+}
+
+// once runs a call that may not be repeated, at the VM that keeps its key.
+func (e *Entry) once(ctx context.Context, c PlainCall, deadline time.Time) (*PlainAnswer, *Refusal) {
+	if c.Key == "" {
+		return nil, e.refuse(Invalid, keys.NotRun, NeedsKey, invalidRetry)
+	}
+	key, err := keys.Parse(c.Key)
+	if err != nil {
+		return nil, e.refuse(Invalid, keys.NotRun, BadKey, invalidRetry)
+	}
+	r := keeper.Request{
+		Service:  c.Service,
+		Call:     c.Call,
+		Key:      key,
+		Body:     c.Body,
+		Print:    fingerprint(c.Service, c.Call, c.Body),
+		First:    c.First,
+		Deadline: deadline,
+	}
+	budgets := []string{"caller " + c.Caller, "service " + c.Service}
+	e.earn(budgets...)
+	for number := 1; ; number++ {
+		answer, err := e.keep(ctx, r)
+		if err == nil {
+			return e.answer(answer)
+		}
+		sent := !errors.Is(err, errNoKeeper)
+		if sent {
+			r.First = false // the attempt may have reached the keeper
+		}
+		attempt := retry.Attempt{Number: number, Final: ctx.Err() != nil, Deadline: deadline}
+		switch d := e.next(time.Now(), attempt, budgets...).(type) {
+		case retry.Again:
+			e.config.Metrics.Retried(KeeperSilent)
+			pause(ctx, d.After)
+		case retry.GiveUp:
+			e.config.Metrics.GaveUp(string(d.Reason))
+			return nil, e.unkept(r.First)
+		}
+	}
+}
+
+// errNoKeeper tells that no VM is known to keep a key.
+var errNoKeeper = errors.New("no VM keeps the key")
+
+// unkept refuses a call whose keeper did not answer.
+func (e *Entry) unkept(first bool) *Refusal {
+	if first {
+		return e.refuse(Refused, keys.NotRun, NoKeeper, shortRetry)
+	}
+	return e.refuse(Unknown, keys.Unknown, KeeperSilent, shortRetry)
+}
+
+// keep runs one attempt at the VM that keeps the key.
+func (e *Entry) keep(ctx context.Context, r keeper.Request) (keys.Answer, error) {
+	view := e.config.View()
+	var vm member.VM
+	var ok bool
+	if r.Key.Boot != "" {
+		if vm, ok = view.Boots[r.Key.Boot]; !ok {
+			return keys.Answer{Outcome: keys.Unknown, Reason: keys.OtherBoot, After: shortRetry}, nil
+		}
+	} else {
+		vm, ok = view.Keeper(keys.Stream(r.Key.Partition(e.config.Streams)))
+	}
+	if !ok {
+		return keys.Answer{}, errNoKeeper
+	}
+	r.ID = e.NewID()
+	if vm.Name == view.Self.Name {
+		return e.config.Keeper.Invoke(ctx, r), nil
+	}
+	return e.config.Peers.Invoke(ctx, vm, r)
+}
+
+// answer turns the keeper's answer into that to the caller.
+func (e *Entry) answer(a keys.Answer) (*PlainAnswer, *Refusal) {
+	switch {
+	case a.Outcome == keys.Ran:
+		e.config.Metrics.Done("keyed")
+		return &PlainAnswer{Reply: a.Reply, Repeated: a.Repeated}, nil
+	case a.Reason == keys.Conflict:
+		return nil, e.refuse(Conflict, keys.NotRun, string(a.Reason), invalidRetry)
+	case a.Outcome == keys.NotRun:
+		return nil, e.refuse(Refused, keys.NotRun, string(a.Reason), max(a.After, shortRetry))
+	default:
+		return nil, e.refuse(Unknown, keys.Unknown, string(a.Reason), max(a.After, shortRetry))
+	}
+}
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,154 @@
+// Package keeper provides the running of keyed calls at the VM that keeps
+// their key.
+package keeper
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/tanagerlb/tanagerlb/internal/metric"
+	"github.com/tanagerlb/tanagerlb/internal/plain"
+	"github.com/tanagerlb/tanagerlb/pkg/docs"
+	"github.com/tanagerlb/tanagerlb/pkg/keys"
+	"github.com/tanagerlb/tanagerlb/pkg/node"
+	"github.com/tanagerlb/tanagerlb/pkg/rank"
+)
+
+// Control is the port to the control thread.
+type Control interface {
+	Post(e node.Event)
+	Ask(id string, e node.Event) <-chan node.Action
+	Forget(id string)
+	View() *node.View
+}
+
+// Request is a keyed call.
+type Request struct {
+	ID       string // unique among all attempts of all calls
+	Service  string
+	Call     string
+	Key      keys.Key
+	Body     string
+	Print    uint64
+	First    bool
+	Deadline time.Time
+}
+
+// Config sets up a Keeper.
+type Config struct {
+	Control  Control
+	Services plain.Services
+	Metrics  *metric.Set
+}
+
+// Keeper runs keyed calls.
+type Keeper struct {
+	config Config
+	mu     sync.Mutex
+	calls  map[string]Request
+}
+
+// New returns a keeper.
+func New(c Config) *Keeper { return &Keeper{config: c, calls: map[string]Request{}} }
+
+// graceAnswer is how long after a call's deadline its answer may come.
+const graceAnswer = 500 * time.Millisecond
+
+// Invoke runs a keyed call and returns its final answer.
+func (k *Keeper) Invoke(ctx context.Context, r Request) keys.Answer {
+	k.mu.Lock()
+	k.calls[r.ID] = r
+	k.mu.Unlock()
+	defer k.drop(r.ID)
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline.Add(graceAnswer))
+	defer cancel()
+	call := keys.Call{ID: r.ID, Key: r.Key, Print: r.Print, First: r.First, Deadline: r.Deadline}
+	reply := k.config.Control.Ask(r.ID, node.KeyArrived{Call: call})
+	select {
+	case a := <-reply:
+		if answer, ok := a.(node.Answer); ok {
+			return answer.Answer
+		}
+	case <-ctx.Done():
+		k.config.Control.Forget(r.ID)
+	}
+	return keys.Answer{ID: r.ID, Outcome: keys.Unknown, Reason: keys.Timeout}
+}
+
+func (k *Keeper) drop(id string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.calls, id)
+}
+
+// Run runs a call once, in the background. It goes on if its caller goes away.
+func (k *Keeper) Run(ctx context.Context, call keys.Call) {
+	k.mu.Lock()
+	r, waits := k.calls[call.ID]
+	k.mu.Unlock()
+	r.Key = call.Key
+	go (&job{keeper: k, request: r, abandoned: !waits}).run(ctx)
+}
+
+// job runs one call.
+type job struct {
+	keeper    *Keeper
+	request   Request
+	abandoned bool // nobody waits for the call any more
+}
+
+func (j *job) run(ctx context.Context) {
+	ended := node.KeyEnded{Outcome: keys.NotRun, Reason: keys.Timeout}
+	if !j.abandoned {
+		ended = j.call(ctx)
+	}
+	ended.Key = j.request.Key
+	j.keeper.config.Control.Post(ended)
+}
+
+// call tries the upstreams until one was sent the call.
+func (j *job) call(ctx context.Context) node.KeyEnded {
+	ctx, cancel := context.WithDeadline(ctx, j.request.Deadline)
+	defer cancel()
+	call := plain.Call{Name: j.request.Call, Key: j.request.Key.Text, Body: j.request.Body}
+	for _, address := range j.upstreams() {
+		reply, err := j.keeper.config.Services.Call(ctx, address, call)
+		switch {
+		case err == nil:
+			return node.KeyEnded{Outcome: keys.Ran, Reply: keys.Reply(reply)}
+		case errors.Is(err, plain.ErrNotSent):
+			j.keeper.config.Metrics.Failed("upstream")
+		default:
+			j.keeper.config.Metrics.Failed("upstream")
+			return node.KeyEnded{Outcome: keys.Unknown, Reason: keys.Broken}
+		}
+	}
+	return node.KeyEnded{Outcome: keys.NotRun, Reason: keys.NoUpstream}
+}
+
+func (j *job) upstreams() []netip.AddrPort {
+	edition, ok := j.keeper.config.Control.View().Editions[j.request.Service]
+	if !ok {
+		return nil
+	}
+	return Upstreams(edition, j.request.Key.Text)
+}
+
+// Upstreams returns the addresses of a plain service's instances in the order
+// in which a call with the given seed tries them.
+func Upstreams(e *docs.Edition, seed string) []netip.AddrPort {
+	byName := make(map[string]netip.AddrPort, len(e.Document.Upstreams))
+	names := make([]string, 0, len(e.Document.Upstreams))
+	for _, u := range e.Document.Upstreams {
+		byName[u.Name] = u.Address
+		names = append(names, u.Name)
+	}
+	addresses := make([]netip.AddrPort, 0, len(names))
+	for _, name := range rank.Order(seed, names) {
+		addresses = append(addresses, byName[name])
+	}
+	return addresses
+}
--- /dev/null
+++ b/internal/oper/oper.go
@@ -0,0 +1,165 @@
+// Package oper provides the HTTP interface for operators: documents, status,
+// metrics and health. It is bound to a port of its own.
+package oper
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	goahttp "goa.design/goa/v3/http"
+
+	"github.com/tanagerlb/tanagerlb/gen/http/operator/server"
+	"github.com/tanagerlb/tanagerlb/gen/operator"
+	"github.com/tanagerlb/tanagerlb/internal/ctrl"
+	"github.com/tanagerlb/tanagerlb/internal/metric"
+	"github.com/tanagerlb/tanagerlb/pkg/check"
+	"github.com/tanagerlb/tanagerlb/pkg/docs"
+	"github.com/tanagerlb/tanagerlb/pkg/node"
+	"github.com/tanagerlb/tanagerlb/pkg/record"
+	"github.com/tanagerlb/tanagerlb/pkg/spec"
+)
+
+const (
+	maxBody     = 8 << 20 // bytes of a request's body
+	verdictWait = 5 * time.Second
+	forceWait   = 10 * time.Second       // for a version to be in force everywhere
+	forcePause  = 100 * time.Millisecond // between two looks
+)
+
+// Config sets up the interface.
+type Config struct {
+	Control *ctrl.Loop
+	Metrics *metric.Set
+	Bases   []string
+	NewID   func() string
+}
+
+// Operator implements the generated operator service.
+type Operator struct{ config Config }
+
+// Handler returns the HTTP handler of the operator interface.
+func Handler(c Config) http.Handler {
+	o := &Operator{config: c}
+	mux := goahttp.NewMuxer()
+	s := server.New(operator.NewEndpoints(o), mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, nil)
+	s.Mount(mux)
+	mux.Handle(http.MethodGet, "/metrics", func(w http.ResponseWriter, _ *http.Request) { c.Metrics.Write(w) })
+	mux.Handle(http.MethodGet, "/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.Handle(http.MethodGet, "/readyz", o.ready)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (o *Operator) ready(w http.ResponseWriter, _ *http.Request) {
+	if !o.config.Control.View().Ready {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+// Publish appends a document to the log and returns the verdict that is read
+// back.
+func (o *Operator) Publish(ctx context.Context, p *operator.PublishPayload) (*operator.Verdict, error) {
+	document, err := spec.Parse("document", []byte(p.Document), o.config.Bases)
+	var findings *check.Error
+	if errors.As(err, &findings) {
+		return nil, operator.Invalid(findings.Error())
+	}
+	nonce := o.config.NewID()
+	proposal := docs.Proposal{Service: document.Service, Base: p.Base, Nonce: nonce, Text: p.Document}
+	data, err := record.Encode(docs.Kind, proposal)
+	if err != nil {
+		return nil, operator.Unavailable(err.Error())
+	}
+	reply := o.config.Control.Expect(nonce)
+	o.config.Control.Append(docs.Stream, data)
+	timer := time.NewTimer(verdictWait)
+	defer timer.Stop()
+	select {
+	case a := <-reply:
+		judged, ok := a.(node.Judged)
+		if !ok {
+			return nil, operator.Unavailable("no verdict")
+		}
+		return o.verdict(ctx, judged.Verdict, p.Wait), nil
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	o.config.Control.Forget(nonce)
+	return nil, operator.Unavailable("no verdict could be read back; the document may still be accepted: look with show")
+}
+
+func (o *Operator) verdict(ctx context.Context, v docs.Verdict, wait bool) *operator.Verdict {
+	out := &operator.Verdict{Service: v.Service, Accepted: v.Accepted}
+	if !v.Accepted {
+		out.Winner = v.Version
+		return out
+	}
+	out.Version = v.Version
+	deadline := time.Now().Add(forceWait)
+	for {
+		out.Vms, out.Live = o.inForce(v.Service, v.Version)
+		if !wait || out.Vms >= out.Live || time.Now().After(deadline) || ctx.Err() != nil {
+			return out
+		}
+		time.Sleep(forcePause)
+	}
+}
+
+// inForce counts the live VMs and those that have a version.
+func (o *Operator) inForce(service string, version int64) (have, live int) {
+	o.config.Control.Query(func(now time.Time, n *node.Node) {
+		have, live = n.InForce(now, service, version)
+	})
+	return have, live
+}
+
+// Show returns the document in force.
+func (o *Operator) Show(_ context.Context, p *operator.ShowPayload) (*operator.Published, error) {
+	e, ok := o.config.Control.View().Editions[p.Service]
+	if !ok {
+		return nil, operator.Missing("no document of service " + p.Service)
+	}
+	return &operator.Published{Service: e.Service, Version: e.Version, Document: e.Text}, nil
+}
+
+// Status returns the state of the system as this VM sees it.
+func (o *Operator) Status(context.Context) (*operator.Status2, error) {
+	view := o.config.Control.View()
+	status := &operator.Status2{VM: view.Self.Name, Log: "up", Vms: []*operator.VMStatus{}, Engines: []*operator.EngineStatus{}}
+	if !view.Log {
+		status.Log = "down"
+	}
+	o.config.Control.Query(func(now time.Time, n *node.Node) { o.fill(now, n, status) })
+	return status, nil
+}
+
+func (o *Operator) fill(now time.Time, n *node.Node, status *operator.Status2) {
+	for _, p := range n.Peers(now) {
+		status.Vms = append(status.Vms, &operator.VMStatus{
+			VM:       p.VM.Name,
+			Zone:     p.VM.Zone,
+			Boot:     p.VM.Boot,
+			State:    p.State,
+			Versions: p.Versions,
+		})
+	}
+	owned := map[string]node.EngineState{}
+	for _, e := range n.Owned() {
+		owned[e.Name] = e
+	}
+	view, _ := n.View(now)
+	for _, name := range view.EngineNames() {
+		charge := view.Owners[name]
+		out := &operator.EngineStatus{Engine: name, Owner: charge.VM.Name, Fence: charge.Fence}
+		if e, ok := owned[name]; ok {
+			out.Resident, out.Running, out.Waiting = e.Resident, &e.Running, &e.Waiting
+		}
+		status.Engines = append(status.Engines, out)
+	}
+}
--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,79 @@
+package peer
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/tanagerlb/tanagerlb/internal/owner"
+	"github.com/tanagerlb/tanagerlb/internal/peer/peerpb"
+	"github.com/tanagerlb/tanagerlb/pkg/crash"
+	"github.com/tanagerlb/tanagerlb/pkg/member"
+	"github.com/tanagerlb/tanagerlb/pkg/node"
+	"github.com/tanagerlb/tanagerlb/pkg/spec"
+)
+
+func encodeVM(vm member.VM, leaving bool) *peerpb.VM {
+	return &peerpb.VM{
+		Name:    vm.Name,
+		Boot:    vm.Boot,
+		Zone:    vm.Zone,
+		Caller:  vm.Caller.String(),
+		Peer:    vm.Peer.String(),
+		Leaving: leaving,
+	}
+}
+
+func decodeVM(w *peerpb.VM) (member.VM, error) {
+	caller, err := netip.ParseAddrPort(w.GetCaller())
+	if err != nil {
+		return member.VM{}, fmt.Errorf("decode VM %q: %w", w.GetName(), err)
+	}
+	peer, err := netip.ParseAddrPort(w.GetPeer())
+	if err != nil {
+		return member.VM{}, fmt.Errorf("decode VM %q: %w", w.GetName(), err)
+	}
+	return member.VM{Name: w.GetName(), Boot: w.GetBoot(), Zone: w.GetZone(), Caller: caller, Peer: peer}, nil
+}
+
+func decodeHeard(from *peerpb.VM, versions map[string]int64, log bool) (node.Heard, error) {
+	vm, err := decodeVM(from)
+	if err != nil {
+		return node.Heard{}, err
+	}
+	return node.Heard{VM: vm, Leaving: from.GetLeaving(), Versions: versions, Log: log}, nil
+}
+
+func encodeRequest(now time.Time, r owner.Request) *peerpb.CompleteRequest {
+	return &peerpb.CompleteRequest{
+		Id:       r.ID,
+		Service:  r.Service,
+		Engine:   r.Engine,
+		Adapter:  r.Adapter.Name,
+		Version:  r.Adapter.Version,
+		Prompt:   r.Prompt,
+		Tokens:   int32(r.Tokens),  //nolint:gosec // bounded by the caller interface
+		Offset:   int32(r.Offset),  //nolint:gosec // below Tokens
+		Urgency:  int32(r.Urgency), //nolint:gosec // one of three values
+		BudgetMs: r.Deadline.Sub(now).Milliseconds(),
+		Print:    uint64(r.Print),
+		Suspect:  r.Suspect,
+	}
+}
+
+func decodeRequest(now time.Time, w *peerpb.CompleteRequest) owner.Request {
+	return owner.Request{
+		ID:       w.GetId(),
+		Service:  w.GetService(),
+		Engine:   w.GetEngine(),
+		Adapter:  spec.Adapter{Name: w.GetAdapter(), Version: w.GetVersion()},
+		Prompt:   w.GetPrompt(),
+		Tokens:   int(w.GetTokens()),
+		Offset:   int(w.GetOffset()),
+		Urgency:  spec.Urgency(w.GetUrgency()),
+		Arrived:  now,
+		Deadline: now.Add(time.Duration(w.GetBudgetMs()) * time.Millisecond),
+		Print:    crash.Print(w.GetPrint()),
+		Suspect:  w.GetSuspect(),
+	}
+}
--- /dev/null
+++ b/internal/peer/pool.go
@@ -0,0 +1,256 @@
+// Package peer provides the protocol between entry VMs over gRPC.
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/tanagerlb/tanagerlb/internal/ctrl"
+	"github.com/tanagerlb/tanagerlb/internal/keeper"
+	"github.com/tanagerlb/tanagerlb/internal/owner"
+	"github.com/tanagerlb/tanagerlb/internal/peer/peerpb"
+	"github.com/tanagerlb/tanagerlb/pkg/keys"
+	"github.com/tanagerlb/tanagerlb/pkg/member"
+	"github.com/tanagerlb/tanagerlb/pkg/node"
+	"github.com/tanagerlb/tanagerlb/pkg/permit"
+	"github.com/tanagerlb/tanagerlb/pkg/record"
+)
+
+// PeerSilent tells that the owner's VM made no progress on a call.
+const PeerSilent node.Reason = "peer-silent"
+
+// maxMessage bounds a message between VMs, in bytes.
+const maxMessage = 32 << 20
+
+// Pool holds a connection to each peer that is in use.
+type Pool struct {
+	mu          sync.Mutex
+	connections map[netip.AddrPort]*grpc.ClientConn
+	silence     time.Duration
+}
+
+// PoolConfig sets up a Pool.
+type PoolConfig struct {
+	Silence time.Duration // without progress, after which a call is given up
+}
+
+// NewPool returns an empty pool.
+func NewPool(c PoolConfig) *Pool {
+	return &Pool{connections: map[netip.AddrPort]*grpc.ClientConn{}, silence: c.Silence}
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, c := range p.connections {
+		_ = c.Close()
+		delete(p.connections, address)
+	}
+}
+
+func dial(address netip.AddrPort) (*grpc.ClientConn, error) {
+	c, err := grpc.NewClient("passthrough:///"+address.String(),
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
+		grpc.WithDisableRetry(),
+	)
+	if err != nil {
+		return nil, fmt.Errorf("dial peer %s: %w", address, err)
+	}
+	return c, nil
+}
+
+func (p *Pool) client(address netip.AddrPort) (peerpb.PeerClient, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.connections[address]
+	if !ok {
+		var err error
+		if c, err = dial(address); err != nil {
+			return nil, err
+		}
+		p.connections[address] = c
+	}
+	return peerpb.NewPeerClient(c), nil
+}
+
+// replace puts a fresh connection in the place of one that went silent.
+func (p *Pool) replace(address netip.AddrPort, fresh *grpc.ClientConn) {
+	p.mu.Lock()
+	old, ok := p.connections[address]
+	p.connections[address] = fresh
+	p.mu.Unlock()
+	if ok {
+		_ = old.Close()
+	}
+}
+
+// Probe asks a VM for a sign of life. If fresh is set it does so on a new
+// connection, which replaces the old one if the VM answers.
+func (p *Pool) Probe(ctx context.Context, vm member.VM, self ctrl.Self, fresh bool) (node.Heard, error) {
+	request := &peerpb.ProbeRequest{From: encodeVM(self.VM, self.Leaving), Versions: self.Versions, Log: self.Log}
+	if !fresh {
+		client, err := p.client(vm.Peer)
+		if err != nil {
+			return node.Heard{}, err
+		}
+		return probe(ctx, client, request)
+	}
+	connection, err := dial(vm.Peer)
+	if err != nil {
+		return node.Heard{}, err
+	}
+	heard, err := probe(ctx, peerpb.NewPeerClient(connection), request)
+	if err != nil {
+		_ = connection.Close()
+		return node.Heard{}, err
+	}
+	p.replace(vm.Peer, connection)
+	return heard, nil
+}
+
+func probe(ctx context.Context, client peerpb.PeerClient, request *peerpb.ProbeRequest) (node.Heard, error) {
+	reply, err := client.Probe(ctx, request)
+	if err != nil {
+		return node.Heard{}, fmt.Errorf("probe peer: %w", err)
+	}
+	return decodeHeard(reply.GetFrom(), reply.GetVersions(), reply.GetLog())
+}
+
+// Borrow asks a VM for the document records that are newer than have.
+func (p *Pool) Borrow(ctx context.Context, vm member.VM, have map[string]int64) ([]record.Record, error) {
+	client, err := p.client(vm.Peer)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := client.Lend(ctx, &peerpb.LendRequest{Have: have})
+	if err != nil {
+		return nil, fmt.Errorf("borrow documents from %s: %w", vm.Name, err)
+	}
+	var records []record.Record
+	for _, r := range reply.GetRecords() {
+		records = append(records, record.Record{Offset: r.GetOffset(), Data: r.GetData()})
+	}
+	return records, nil
+}
+
+// Ask asks the granter for a permit.
+func (p *Pool) Ask(ctx context.Context, vm member.VM, ask permit.Ask) (bool, error) {
+	client, err := p.client(vm.Peer)
+	if err != nil {
+		return false, err
+	}
+	reply, err := client.Permit(ctx, &peerpb.PermitRequest{
+		Vm:       ask.VM,
+		Id:       ask.Name,
+		Urgency:  int32(ask.Urgency), //nolint:gosec // one of three values
+		WaitedMs: time.Since(ask.Since).Milliseconds(),
+	})
+	if err != nil {
+		return false, fmt.Errorf("ask %s for a permit: %w", vm.Name, err)
+	}
+	return reply.GetGranted(), nil
+}
+
+// Return gives a permit back to the granter.
+func (p *Pool) Return(ctx context.Context, vm member.VM, id permit.ID) error {
+	client, err := p.client(vm.Peer)
+	if err != nil {
+		return err
+	}
+	if _, err := client.Permit(ctx, &peerpb.PermitRequest{Vm: id.VM, Id: id.Name, Release: true}); err != nil {
+		return fmt.Errorf("return a permit to %s: %w", vm.Name, err)
+	}
+	return nil
+}
+
+// Complete runs a model call at the VM that owns the engine. Without progress
+// it is given up.
+func (p *Pool) Complete(ctx context.Context, vm member.VM, r owner.Request, sink owner.Sink) owner.Result {
+	client, err := p.client(vm.Peer)
+	if err != nil {
+		return owner.Result{Reason: PeerSilent}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := client.Complete(ctx, encodeRequest(time.Now(), r))
+	if err != nil {
+		return owner.Result{Reason: PeerSilent}
+	}
+	return p.receive(cancel, stream, sink)
+}
+
+func (p *Pool) receive(cancel func(), stream peerpb.Peer_CompleteClient, sink owner.Sink) owner.Result {
+	started := false
+	silence := time.AfterFunc(p.silence, cancel)
+	defer silence.Stop()
+	for {
+		event, err := stream.Recv()
+		if err != nil {
+			return owner.Result{Reason: brokenBy(err), Started: started}
+		}
+		switch e := event.GetEvent().(type) {
+		case *peerpb.CompleteEvent_Hint:
+			started = true
+			sink.Hint(int(e.Hint.GetSpread()), int(e.Hint.GetQueue()))
+		case *peerpb.CompleteEvent_Token:
+			if err := sink.Token(int(e.Token.GetOffset()), e.Token.GetText()); err != nil {
+				return owner.Result{Reason: owner.Canceled, Started: true}
+			}
+		case *peerpb.CompleteEvent_Done:
+			return owner.Result{Tokens: int(e.Done.GetTokens()), Started: true}
+		case *peerpb.CompleteEvent_Refused:
+			after := time.Duration(e.Refused.GetRetryMs()) * time.Millisecond
+			return owner.Result{Reason: node.Reason(e.Refused.GetReason()), After: after, Started: e.Refused.GetRan()}
+		}
+		silence.Reset(p.silence)
+	}
+}
+
+// brokenBy names why a stream of a peer broke off.
+func brokenBy(err error) node.Reason {
+	if errors.Is(err, io.EOF) {
+		return owner.EngineCut
+	}
+	return PeerSilent
+}
+
+// Invoke runs a keyed call at the VM that keeps the key. An error leaves open
+// whether it ran.
+func (p *Pool) Invoke(ctx context.Context, vm member.VM, r keeper.Request) (keys.Answer, error) {
+	client, err := p.client(vm.Peer)
+	if err != nil {
+		return keys.Answer{}, err
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline.Add(time.Second))
+	defer cancel()
+	reply, err := client.Invoke(ctx, &peerpb.InvokeRequest{
+		Service:  r.Service,
+		Call:     r.Call,
+		Key:      r.Key.Text,
+		Body:     r.Body,
+		Print:    r.Print,
+		First:    r.First,
+		BudgetMs: time.Until(r.Deadline).Milliseconds(),
+	})
+	if err != nil {
+		return keys.Answer{}, fmt.Errorf("invoke at %s: %w", vm.Name, err)
+	}
+	return keys.Answer{
+		ID:       r.ID,
+		Outcome:  keys.Outcome(reply.GetOutcome()),
+		Reason:   keys.Reason(reply.GetReason()),
+		Reply:    keys.Reply{Status: int(reply.GetStatus()), Body: reply.GetBody()},
+		Repeated: reply.GetRepeated(),
+		After:    time.Duration(reply.GetRetryMs()) * time.Millisecond,
+	}, nil
+}
--- /dev/null
+++ b/internal/vms/vms.go
@@ -0,0 +1,89 @@
+// Package vms provides the client of the platform's list of VMs.
+package vms
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/tanagerlb/tanagerlb/pkg/member"
+)
+
+// maxList bounds the list, in bytes.
+const maxList = 8 << 20
+
+type wireVM struct {
+	Name    string         `json:"name"`
+	Zone    string         `json:"zone"`
+	Caller  netip.AddrPort `json:"caller"`
+	Peer    netip.AddrPort `json:"peer"`
+	Leaving bool           `json:"leaving"`
+}
+
+// Config sets up a Watcher.
+type Config struct {
+	Address netip.AddrPort
+	Every   time.Duration
+	Sink    func(list []member.Listed)
+	Failed  func(err error)
+}
+
+// Watcher reads the list again and again.
+type Watcher struct {
+	config Config
+	http   *http.Client
+}
+
+// Watch begins to read the list, until ctx is done.
+func Watch(ctx context.Context, c Config) {
+	w := &Watcher{config: c, http: &http.Client{Timeout: c.Every * 2}}
+	go w.loop(ctx)
+}
+
+func (w *Watcher) loop(ctx context.Context) {
+	ticker := time.NewTicker(w.config.Every)
+	defer ticker.Stop()
+	for {
+		list, err := w.read(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
+			w.http.CloseIdleConnections()
+			w.config.Failed(err)
+		default:
+			w.config.Sink(list)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (w *Watcher) read(ctx context.Context) ([]member.Listed, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.config.Address.String()+"/vms", nil)
+	if err != nil {
+		return nil, fmt.Errorf("read the VM list: %w", err)
+	}
+	response, err := w.http.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("read the VM list: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var wire []wireVM
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxList)).Decode(&wire); err != nil {
+		return nil, fmt.Errorf("read the VM list: %w", err)
+	}
+	list := make([]member.Listed, 0, len(wire))
+	for _, v := range wire {
+		vm := member.VM{Name: v.Name, Zone: v.Zone, Caller: v.Caller, Peer: v.Peer}
+		list = append(list, member.Listed{VM: vm, Leaving: v.Leaving})
+	}
+	return list, nil
+}
