--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,120 @@
+// Command standin runs small stand-ins for the systems around the VMs, for
+// tests and trials. Each is told to misbehave by POST /control.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/tanagerlb/tanagerlb/internal/stand"
+)
+
+func main() {
+	parser := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
+	for _, c := range []struct {
+		name, short string
+		command     any
+	}{
+		{"log", "Run the log service", &logCommand{}},
+		{"store", "Run the weight store", &storeCommand{}},
+		{"list", "Run the list of VMs", &listCommand{}},
+		{"engine", "Run a model engine", &engineCommand{}},
+		{"service", "Run a plain service", &serviceCommand{}},
+	} {
+		if _, err := parser.AddCommand(c.name, c.short, c.short+".", c.command); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+	if _, err := parser.Parse(); err != nil {
+		var usage *flags.Error
+		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+			fmt.Println(usage.Message)
+			return
+		}
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+type listenOption struct {
+	Listen string `long:"listen" required:"true" value-name:"IP:PORT" description:"Address to serve"`
+}
+
+// serve serves a stand-in until the process is told to end.
+func (o listenOption) serve(handler http.Handler) error {
+	address, err := netip.ParseAddrPort(o.Listen)
+	if err != nil {
+		return fmt.Errorf("parse address: %w", err)
+	}
+	s, err := stand.Listen(address, handler)
+	if err != nil {
+		return err
+	}
+	fmt.Println("listening on", s.Address())
+	end := make(chan os.Signal, 1)
+	signal.Notify(end, syscall.SIGTERM, syscall.SIGINT)
+	<-end
+	return s.Close()
+}
+
+type logCommand struct{ listenOption }
+
+// Execute runs the command.
+func (c *logCommand) Execute([]string) error { return c.serve(stand.NewLog()) }
+
+type storeCommand struct {
+	listenOption
+
+	Load time.Duration `long:"load" default:"400ms" description:"Time to read an adapter's weights"`
+}
+
+// Execute runs the command.
+func (c *storeCommand) Execute([]string) error {
+	return c.serve(stand.NewStore(stand.StoreConfig{Load: c.Load}))
+}
+
+type listCommand struct{ listenOption }
+
+// Execute runs the command.
+func (c *listCommand) Execute([]string) error { return c.serve(stand.NewList()) }
+
+type engineCommand struct {
+	listenOption
+
+	Name   string        `long:"name" required:"true" description:"Name of the engine"`
+	Slots  int           `long:"slots" default:"4" description:"Adapters resident at once"`
+	Batch  int           `long:"batch" default:"8" description:"Requests running at once"`
+	Fences bool          `long:"fences" description:"Refuse orders with old fencing numbers"`
+	Step   time.Duration `long:"step" default:"10ms" description:"Time of one token"`
+	Store  string        `long:"store" required:"true" value-name:"IP:PORT" description:"Address of the weight store"`
+}
+
+// Execute runs the command.
+func (c *engineCommand) Execute([]string) error {
+	store, err := netip.ParseAddrPort(c.Store)
+	if err != nil {
+		return fmt.Errorf("parse address of the weight store: %w", err)
+	}
+	return c.serve(stand.NewEngine(stand.EngineConfig{
+		Name:   c.Name,
+		Slots:  c.Slots,
+		Batch:  c.Batch,
+		Fences: c.Fences,
+		Step:   c.Step,
+		Store:  store,
+	}))
+}
+
+type serviceCommand struct{ listenOption }
+
+// Execute runs the command.
+func (c *serviceCommand) Execute([]string) error { return c.serve(stand.NewService()) }
--- /dev/null
+++ b/cmd/tanagerlb/main.go
@@ -0,0 +1,104 @@
+// Command tanagerlb runs an entry VM and steers a fleet of them.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/tanagerlb/tanagerlb/pkg/check"
+)
+
+// Exit statuses.
+const (
+	statusFailed   = 1 // the command failed
+	statusFindings = 2 // settings, a document or arguments are wrong
+	statusRejected = 3 // a document was rejected: another version won
+)
+
+// version is set by the linker for releases.
+var version = ""
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+type options struct {
+	Version bool `long:"version" description:"Print the version and exit"`
+}
+
+func run(args []string) int {
+	var o options
+	parser := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash)
+	parser.SubcommandsOptional = true
+	parser.LongDescription = "Serves very many LoRA adapters.\n\n" +
+		"Examples:\n" +
+		"  tanagerlb demo\n" +
+		"  tanagerlb serve --settings a1.yaml\n" +
+		"  tanagerlb check a1.yaml\n" +
+		"  tanagerlb publish --operator 127.0.0.1:7001 --wait lm-assist.yaml\n" +
+		"  tanagerlb status --operator 127.0.0.1:7001"
+	for _, c := range commands() {
+		if _, err := parser.AddCommand(c.name, c.short, c.long, c.command); err != nil {
+			return fail(err)
+		}
+	}
+	if _, err := parser.ParseArgs(args); err != nil {
+		return fail(err)
+	}
+	if o.Version {
+		fmt.Println("tanagerlb", buildVersion())
+		return 0
+	}
+	if parser.Active == nil {
+		parser.WriteHelp(os.Stdout)
+		return statusFindings
+	}
+	return 0
+}
+
+type entry struct {
+	name, short, long string
+	command           any
+}
+
+func commands() []entry {
+	return []entry{
+		{"serve", "Run an entry VM", "Runs an entry VM until SIGTERM, then leaves gracefully.", &serveCommand{}},
+		{"demo", "Show the whole path", "Runs stand-ins and three VMs in this process and shows what they do.", &demoCommand{}},
+		{"publish", "Publish a document", "Publishes a document and prints the verdict that was read back.", &publishCommand{}},
+		{"show", "Show a document", "Prints the document of a service that is in force.", &showCommand{}},
+		{"check", "Check a file", "Checks settings or a document and prints all findings.", &checkCommand{}},
+		{"status", "Show the system", "Prints the VMs and engines as one VM sees them.", &statusCommand{}},
+	}
+}
+
+// fail prints an error and returns the exit status that goes with it.
+func fail(err error) int {
+	var usage *flags.Error
+	if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+		fmt.Println(usage.Message)
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, err)
+	var findings *check.Error
+	switch {
+	case errors.As(err, &usage), errors.As(err, &findings):
+		return statusFindings
+	case errors.Is(err, errRejected):
+		return statusRejected
+	default:
+		return statusFailed
+	}
+}
+
+func buildVersion() string {
+	if version != "" {
+		return version
+	}
+	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
+		return info.Main.Version
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/internal/demo/fleet.go
@@ -0,0 +1,160 @@
+// Package demo provides a demonstration of the whole path within one process:
+// stand-ins for the systems around, and three VMs in three availability zones.
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/tanagerlb/tanagerlb/internal/config"
+	"github.com/tanagerlb/tanagerlb/internal/daemon"
+	"github.com/tanagerlb/tanagerlb/internal/stand"
+)
+
+const (
+	zones       = 3
+	readyPause  = 20 * time.Millisecond
+	loadTime    = 50 * time.Millisecond
+	stepTime    = 2 * time.Millisecond
+	logRequests = 500 * time.Millisecond
+)
+
+// fleet is all that runs in the demonstration.
+type fleet struct {
+	log     *stand.Log
+	list    *stand.List
+	service *stand.Service
+	servers []*stand.Server
+	daemons []*daemon.Daemon
+	vms     []config.Settings
+	engines []*stand.Server
+	plain   *stand.Server
+}
+
+var local = netip.MustParseAddrPort("127.0.0.1:0")
+
+// newFleet starts the stand-ins and the VMs.
+func newFleet() (*fleet, error) {
+	f := &fleet{log: stand.NewLog(), list: stand.NewList(), service: stand.NewService()}
+	if err := f.start(); err != nil {
+		f.close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *fleet) start() error {
+	logServer, err := f.serve(f.log)
+	if err != nil {
+		return err
+	}
+	list, err := f.serve(f.list)
+	if err != nil {
+		return err
+	}
+	if f.plain, err = f.serve(f.service); err != nil {
+		return err
+	}
+	store, err := f.serve(stand.NewStore(stand.StoreConfig{Load: loadTime}))
+	if err != nil {
+		return err
+	}
+	for i := range 2 {
+		engine, err := f.serve(stand.NewEngine(stand.EngineConfig{
+			Name:   "e" + strconv.Itoa(i+1),
+			Slots:  2,
+			Batch:  4,
+			Fences: i == 0,
+			Step:   stepTime,
+			Store:  store.Address(),
+		}))
+		if err != nil {
+			return err
+		}
+		f.engines = append(f.engines, engine)
+	}
+	return f.startVMs(logServer.Address(), list.Address())
+}
+
+func (f *fleet) serve(handler http.Handler) (*stand.Server, error) {
+	s, err := stand.Listen(local, handler)
+	if err != nil {
+		return nil, err
+	}
+	f.servers = append(f.servers, s)
+	return s, nil
+}
+
+func (f *fleet) startVMs(logAddress, listAddress netip.AddrPort) error {
+	var listed []stand.ListedVM
+	for i := range zones {
+		s := config.Defaults()
+		s.VM = "vm-" + strconv.Itoa(i+1)
+		s.Zone = "zone-" + string(rune('a'+i))
+		for _, address := range []*netip.AddrPort{&s.Caller, &s.Operator, &s.Peer} {
+			free, err := freeAddress()
+			if err != nil {
+				return err
+			}
+			*address = free
+		}
+		s.Log.Address, s.List.Address = logAddress, listAddress
+		s.Log.Timeout = logRequests
+		s.Store.Load = loadTime
+		s.Store.Rate = 20
+		s.Bases = []string{"base-7b"}
+		f.vms = append(f.vms, s)
+		listed = append(listed, stand.ListedVM{Name: s.VM, Zone: s.Zone, Caller: s.Caller, Peer: s.Peer})
+	}
+	f.list.Set(listed...)
+	for _, s := range f.vms {
+		d, err := daemon.Start(s, zap.NewNop())
+		if err != nil {
+			return err
+		}
+		f.daemons = append(f.daemons, d)
+	}
+	return nil
+}
+
+// freeAddress returns a loopback address that is free now.
+func freeAddress() (netip.AddrPort, error) {
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", local.String())
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("find a free port: %w", err)
+	}
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String()), nil
+}
+
+func (f *fleet) close() {
+	for _, d := range f.daemons {
+		d.Close()
+	}
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+}
+
+// errNotReady tells that something did not come about in time.
+var errNotReady = errors.New("not in time")
+
+// until waits until a condition holds.
+func until(ctx context.Context, what string, holds func() bool) error {
+	for !holds() {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s: %w", what, errNotReady)
+		case <-time.After(readyPause):
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/stand/list.go
@@ -0,0 +1,73 @@
+package stand
+
+import (
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+)
+
+// ListedVM is an entry of the platform's VM list.
+type ListedVM struct {
+	Name    string         `json:"name"`
+	Zone    string         `json:"zone"`
+	Caller  netip.AddrPort `json:"caller"`
+	Peer    netip.AddrPort `json:"peer"`
+	Leaving bool           `json:"leaving"`
+}
+
+// List is the platform's list of VMs. It changes only when it is told, so it
+// lags as much as a test wants.
+type List struct {
+	faulty
+	mux   *http.ServeMux
+	mutex sync.Mutex
+	vms   []ListedVM
+}
+
+// NewList returns a list of VMs.
+//
+//	GET  /vms      returns the list
+//	POST /vms      replaces the list
+//	POST /control  sets Faults
+func NewList(vms ...ListedVM) *List {
+	l := &List{mux: http.NewServeMux(), vms: vms}
+	l.mux.HandleFunc("GET /vms", l.get)
+	l.mux.HandleFunc("POST /vms", l.post)
+	l.mux.HandleFunc("POST /control", l.control)
+	return l
+}
+
+// ServeHTTP serves the list.
+func (l *List) ServeHTTP(w http.ResponseWriter, r *http.Request) { l.mux.ServeHTTP(w, r) }
+
+// Set replaces the list.
+func (l *List) Set(vms ...ListedVM) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.vms = slices.Clone(vms)
+}
+
+func (l *List) get(w http.ResponseWriter, r *http.Request) {
+	if !l.before(r) {
+		return
+	}
+	l.mutex.Lock()
+	vms := slices.Clone(l.vms)
+	l.mutex.Unlock()
+	writeJSON(w, vms)
+}
+
+func (l *List) post(w http.ResponseWriter, r *http.Request) {
+	var vms []ListedVM
+	if readJSON(w, r, &vms) {
+		l.Set(vms...)
+	}
+}
+
+func (l *List) control(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if readJSON(w, r, &faults) {
+		l.setFaults(faults)
+	}
+}
--- /dev/null
+++ b/internal/stand/service.go
@@ -0,0 +1,67 @@
+package stand
+
+import (
+	"io"
+	"net/http"
+	"sync"
+)
+
+// Service is an instance of a plain service. It keeps the only count of how
+// often each call ran.
+type Service struct {
+	faulty
+	mux   *http.ServeMux
+	mutex sync.Mutex
+	runs  map[string]int
+}
+
+// NewService returns an instance of a plain service that answers with the body
+// that it was sent.
+//
+//	POST /calls/{call}  runs a call under its Idempotency-Key
+//	POST /control       sets Faults
+//	GET  /counts        returns the number of runs by key
+func NewService() *Service {
+	s := &Service{mux: http.NewServeMux(), runs: map[string]int{}}
+	s.mux.HandleFunc("POST /calls/{call}", s.call)
+	s.mux.HandleFunc("POST /control", s.control)
+	s.mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Counts()) })
+	return s
+}
+
+// ServeHTTP serves the plain service.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !s.before(r) {
+		return
+	}
+	s.mutex.Lock()
+	s.runs[r.Header.Get("Idempotency-Key")]++
+	s.mutex.Unlock()
+	s.after()
+	_, _ = w.Write(append([]byte(r.PathValue("call")+": "), body...))
+}
+
+func (s *Service) control(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if readJSON(w, r, &faults) {
+		s.setFaults(faults)
+	}
+}
+
+// Counts returns how often a call ran, by key.
+func (s *Service) Counts() map[string]int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	counts := make(map[string]int, len(s.runs))
+	for key, count := range s.runs {
+		counts[key] = count
+	}
+	return counts
+}
