test(e2e): run real processes behind a fault-injecting proxy

A request through each VM is served whole by the adapter and version that the document names; a call marked once, sent to three VMs, runs once.

--- /dev/null
+++ b/e2e/path_test.go
@@ -0,0 +1,63 @@
+package e2e
+
+import (
+	"context"
+	"os/exec"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tanagerlb/tanagerlb/internal/stand"
+	"github.com/tanagerlb/tanagerlb/internal/testlib"
+	"github.com/tanagerlb/tanagerlb/pkg/keys"
+)
+
+// A request that enters at a VM which does not own the engine is served by the
+// adapter and version that the document names.
+func TestPathThroughEachVM(t *testing.T) {
+	is := is.New(t)
+	f := testlib.NewFleet(t, testlib.FleetConfig{Engines: 1})
+	f.MustPublish(f.ModelDocument("school-12@v1"))
+	owners := f.AwaitOwned()
+	others := 0
+	for _, vm := range f.VMs {
+		if owners["lm-assist/e1"] != vm.Name {
+			others++
+		}
+		a := testlib.Complete(vm.Caller, "school-12", "minutes", 10)
+		is.Equal(a.Outcome, "done")                                                   // outcome
+		is.Equal(a.Text, stand.Whole("school-12@v1", "minutes", 10))                  // whole answer
+		is.Equal(f.Engines[0].Counts().Missing, 0)                                    // engine held the adapter
+		is.Equal(len(f.Engines[0].Counts().Adapters), 1)                              // no other adapter
+		is.True(f.Engines[0].Counts().Adapters["school-12@v1"] >= 1)                  // ran on the engine
+		is.Equal(testlib.Complete(vm.Caller, "x", "minutes", 1).Reason, "no-adapter") // refusal
+	}
+	is.Equal(others, 2)
+}
+
+// A call that may not be repeated runs once, whichever VMs it is sent to.
+func TestSendRunsOnce(t *testing.T) {
+	is := is.New(t)
+	f := testlib.NewFleet(t, testlib.FleetConfig{})
+	f.MustPublish(f.PlainDocument())
+	key := keys.Make(time.Now(), "", "congregation-1").Text
+	for i, vm := range f.VMs {
+		a := testlib.Send(vm.Caller, key, i+1, "hello")
+		is.Equal(a.Outcome, "done")
+		is.Equal(a.Reply, "send: hello")
+		is.Equal(a.Repeated, i > 0)
+	}
+	is.Equal(f.Service.Counts()[key], 1)
+	is.Equal(testlib.Send(f.VMs[0].Caller, key, 0, "other").Reason, "key-conflict")
+}
+
+// The stand-ins and the demonstration run as processes of their own.
+func TestDemoProcess(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	out, err := exec.CommandContext(ctx, testlib.Build(t, "tanagerlb"), "demo").CombinedOutput()
+	t.Logf("%s", out)
+	is.NoErr(err)
+}
--- /dev/null
+++ b/internal/testlib/client.go
@@ -0,0 +1,234 @@
+package testlib
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	goahttp "goa.design/goa/v3/http"
+
+	"github.com/tanagerlb/tanagerlb/gen/http/operator/client"
+	"github.com/tanagerlb/tanagerlb/gen/operator"
+)
+
+// Answer is what a caller got.
+type Answer struct {
+	Status   int
+	Outcome  string // from the header
+	Retry    int    // seconds, from the header
+	Body     []byte
+	Text     string `json:"text"`
+	Tokens   int    `json:"tokens"`
+	Version  string `json:"version"`
+	Document int64  `json:"document"`
+	Reason   string `json:"reason"`
+	Reply    string `json:"body"`
+	Repeated bool   `json:"repeated"`
+	Other    string `json:"address"`
+	Err      error  // no answer came
+}
+
+// Done tells whether the call was answered whole.
+func (a Answer) Done() bool { return a.Err == nil && a.Outcome == "done" }
+
+// caller opens a connection for each call, as callers that keep nothing do.
+var caller = &http.Client{
+	Transport: &http.Transport{DisableKeepAlives: true},
+	Timeout:   40 * time.Second,
+}
+
+// Post sends a call to a VM.
+func Post(address netip.AddrPort, path string, headers map[string]string, body any) Answer {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost,
+		"http://"+address.String()+path, bytes.NewReader(data))
+	if err != nil {
+		return Answer{Err: err}
+	}
+	request.Header.Set("Content-Type", "application/json")
+	for name, value := range headers {
+		request.Header.Set(name, value)
+	}
+	response, err := caller.Do(request)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	defer response.Body.Close()
+	return decode(response)
+}
+
+func decode(response *http.Response) Answer {
+	a := Answer{Status: response.StatusCode, Outcome: response.Header.Get("Tanager-Outcome")}
+	a.Retry, _ = strconv.Atoi(response.Header.Get("Retry-After"))
+	a.Body, a.Err = io.ReadAll(response.Body)
+	if a.Err == nil && response.Header.Get("Content-Type") == "application/json" {
+		a.Err = json.Unmarshal(a.Body, &a)
+	}
+	return a
+}
+
+// Complete sends a model call to a VM.
+func Complete(address netip.AddrPort, adapter, prompt string, tokens int) Answer {
+	body := map[string]any{"adapter": adapter, "prompt": prompt, "tokens": tokens, "call": "summary"}
+	return Post(address, "/v1/services/lm-assist/complete", nil, body)
+}
+
+// Send sends a call that may not be repeated to a VM.
+func Send(address netip.AddrPort, key string, attempt int, text string) Answer {
+	headers := map[string]string{"Idempotency-Key": key, "Tanager-Attempt": strconv.Itoa(attempt)}
+	return Post(address, "/v1/services/mailbox-api/calls/send", headers, map[string]any{"body": text})
+}
+
+// Address is one entry of an address answer.
+type Address struct {
+	VM      string `json:"vm"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+	Boot    string `json:"boot"`
+}
+
+// Addresses asks a VM which addresses to use.
+func Addresses(address netip.AddrPort, zone string) ([]Address, error) {
+	response, err := caller.Get("http://" + address.String() + "/v1/addresses?zone=" + zone)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	var list struct {
+		Addresses []Address `json:"addresses"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&list); err != nil {
+		return nil, fmt.Errorf("decode addresses: %w", err)
+	}
+	return list.Addresses, nil
+}
+
+// Operators returns a client of the operator interface.
+func (v *VM) Operators() *operator.Client {
+	doer := &http.Client{Timeout: 20 * time.Second}
+	c := client.NewClient("http", v.Operator.String(), doer, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
+	return operator.NewClient(c.Publish(), c.Show(), c.Status())
+}
+
+// Publish publishes a document and waits until it is in force everywhere.
+func (v *VM) Publish(base int64, text string) (*operator.Verdict, error) {
+	return v.Operators().Publish(context.Background(), &operator.PublishPayload{Base: base, Document: text, Wait: true})
+}
+
+// MustPublish publishes the first version of a document.
+func (f *Fleet) MustPublish(text string) int64 {
+	f.T.Helper()
+	f.AwaitLive(len(f.VMs))
+	v, err := f.VMs[0].Publish(0, text)
+	if err != nil || !v.Accepted {
+		f.T.Fatalf("publish: %v, %+v", err, v)
+	}
+	return v.Version
+}
+
+// Version returns the version of a service's document that a VM has in force.
+func (v *VM) Version(service string) int64 {
+	published, err := v.Operators().Show(context.Background(), &operator.ShowPayload{Service: service})
+	if err != nil {
+		return 0
+	}
+	return published.Version
+}
+
+// Status returns the state of the system as a VM sees it.
+func (v *VM) Status() *operator.Status2 {
+	status, err := v.Operators().Status(context.Background())
+	if err != nil {
+		return &operator.Status2{}
+	}
+	return status
+}
+
+// Owners returns the owner of each engine as a VM sees it.
+func (v *VM) Owners() map[string]string {
+	owners := map[string]string{}
+	for _, e := range v.Status().Engines {
+		owners[e.Engine] = e.Owner
+	}
+	return owners
+}
+
+// AwaitLive waits until each running VM sees count live ones.
+func (f *Fleet) AwaitLive(count int) {
+	f.T.Helper()
+	for _, vm := range f.VMs {
+		if vm.isEnded() {
+			continue
+		}
+		Await(f.T, vm.Name+" sees the live VMs", func() bool { return vm.live() == count })
+	}
+}
+
+func (v *VM) isEnded() bool {
+	select {
+	case <-v.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+func (v *VM) live() int {
+	live := 0
+	for _, s := range v.Status().Vms {
+		if s.State == "live" {
+			live++
+		}
+	}
+	return live
+}
+
+// AwaitOwned waits until each engine has an owner, and returns the owners.
+func (f *Fleet) AwaitOwned() map[string]string {
+	f.T.Helper()
+	Await(f.T, "engines are owned", func() bool { return len(f.VMs[0].Owners()) == len(f.Engines) })
+	return f.VMs[0].Owners()
+}
+
+// Find returns the VM with a name.
+func (f *Fleet) Find(name string) *VM {
+	f.T.Helper()
+	for _, vm := range f.VMs {
+		if vm.Name == name {
+			return vm
+		}
+	}
+	f.T.Fatalf("no VM %q", name)
+	return nil
+}
+
+// Metric returns the sum of the VM's metrics whose names begin with prefix.
+func (v *VM) Metric(prefix string) float64 {
+	response, err := http.Get("http://" + v.Operator.String() + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	text, _ := io.ReadAll(response.Body)
+	sum := 0.0
+	for _, line := range bytes.Split(text, []byte("\n")) {
+		if !bytes.HasPrefix(line, []byte(prefix)) {
+			continue
+		}
+		at := bytes.LastIndexByte(line, ' ')
+		value, err := strconv.ParseFloat(string(line[at+1:]), 64)
+		if err == nil {
+			sum += value
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/testlib/fleet.go
@@ -0,0 +1,385 @@
+package testlib
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/tanagerlb/tanagerlb/internal/stand"
+)
+
+// Base is the base model that the documents of a Fleet name.
+const Base = "base-7b"
+
+var builds struct {
+	sync.Mutex
+	paths map[string]string
+}
+
+// Build builds a command of this module once and returns its path.
+func Build(t testing.TB, command string) string {
+	t.Helper()
+	builds.Lock()
+	defer builds.Unlock()
+	if path, ok := builds.paths[command]; ok {
+		return path
+	}
+	folder, err := os.MkdirTemp("", "tanagerlb-test-")
+	if err != nil {
+		t.Fatalf("make folder: %v", err)
+	}
+	path := filepath.Join(folder, command)
+	out, err := exec.Command("go", "build", "-o", path, "github.com/tanagerlb/tanagerlb/cmd/"+command).CombinedOutput()
+	if err != nil {
+		t.Fatalf("build %s: %v\n%s", command, err, out)
+	}
+	if builds.paths == nil {
+		builds.paths = map[string]string{}
+	}
+	builds.paths[command] = path
+	return path
+}
+
+// Clean removes what Build built. It is to be called at the end of TestMain.
+func Clean() {
+	builds.Lock()
+	defer builds.Unlock()
+	for _, path := range builds.paths {
+		_ = os.RemoveAll(filepath.Dir(path))
+	}
+}
+
+// FleetConfig sets up a Fleet.
+type FleetConfig struct {
+	VMs     int
+	Engines int
+	Slots   int
+	Batch   int
+	Fences  bool
+	Step    time.Duration // of a token
+	Load    time.Duration // of an adapter
+	Rate    float64       // loads a second
+	Keys    int           // partitions of keys
+	Life    time.Duration // of a key
+	Retain  time.Duration // of the log
+	Queue   int           // requests waiting at an engine
+}
+
+func (c *FleetConfig) defaults() {
+	set(&c.VMs, 3)
+	set(&c.Engines, 2)
+	set(&c.Slots, 2)
+	set(&c.Batch, 4)
+	set(&c.Step, 2*time.Millisecond)
+	set(&c.Load, 30*time.Millisecond)
+	set(&c.Rate, 20)
+	set(&c.Keys, 4)
+	set(&c.Life, 10*time.Minute)
+	set(&c.Retain, time.Hour)
+	set(&c.Queue, 512)
+}
+
+func set[T comparable](value *T, otherwise T) {
+	var zero T
+	if *value == zero {
+		*value = otherwise
+	}
+}
+
+// Fleet is a fleet of real VM processes among stand-ins that run in the test.
+// Each VM reaches the log, and each is reached by callers and peers, through
+// proxies of its own.
+type Fleet struct {
+	T       testing.TB
+	Config  FleetConfig
+	Log     *stand.Log
+	List    *stand.List
+	Store   *stand.Store
+	Engines []*stand.Engine
+	Service *stand.Service
+	VMs     []*VM
+
+	EngineProxies []*Proxy
+	ServiceProxy  *Proxy
+	logAddress    netip.AddrPort
+	listAddress   netip.AddrPort
+	binary        string
+}
+
+// VM is one VM process.
+type VM struct {
+	Name     string
+	Zone     string
+	Caller   netip.AddrPort // through CallerProxy
+	Operator netip.AddrPort
+	Peer     netip.AddrPort // through PeerProxy
+	LogProxy *Proxy
+
+	CallerProxy *Proxy
+	PeerProxy   *Proxy
+
+	fleet    *Fleet
+	settings string
+	command  *exec.Cmd
+	output   *os.File
+	ended    chan struct{}
+}
+
+// NewFleet starts the stand-ins and the VMs, and waits until these are ready.
+func NewFleet(t testing.TB, c FleetConfig) *Fleet {
+	t.Helper()
+	c.defaults()
+	f := &Fleet{
+		T:       t,
+		Config:  c,
+		Log:     stand.NewLog(),
+		List:    stand.NewList(),
+		Store:   stand.NewStore(stand.StoreConfig{Load: c.Load}),
+		Service: stand.NewService(),
+		binary:  Build(t, "tanagerlb"),
+	}
+	f.logAddress = Serve(t, f.Log)
+	f.listAddress = Serve(t, f.List)
+	store := Serve(t, f.Store)
+	f.ServiceProxy = NewProxy(t, Serve(t, f.Service))
+	for i := range c.Engines {
+		e := stand.NewEngine(stand.EngineConfig{
+			Name:   "e" + strconv.Itoa(i+1),
+			Slots:  c.Slots,
+			Batch:  c.Batch,
+			Fences: c.Fences,
+			Step:   c.Step,
+			Store:  store,
+		})
+		f.Engines = append(f.Engines, e)
+		f.EngineProxies = append(f.EngineProxies, NewProxy(t, Serve(t, e)))
+	}
+	for i := range c.VMs {
+		f.VMs = append(f.VMs, f.newVM(i))
+	}
+	f.ListAll()
+	for _, vm := range f.VMs {
+		vm.Start()
+	}
+	for _, vm := range f.VMs {
+		vm.AwaitReady()
+	}
+	return f
+}
+
+// Serve serves a handler on a loopback address until the test ends.
+func Serve(t testing.TB, handler http.Handler) netip.AddrPort {
+	t.Helper()
+	s, err := stand.Listen(netip.MustParseAddrPort("127.0.0.1:0"), handler)
+	if err != nil {
+		t.Fatalf("start stand-in: %v", err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	return s.Address()
+}
+
+// FreeAddress returns a loopback address that is free now.
+func FreeAddress(t testing.TB) netip.AddrPort {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("find a free port: %v", err)
+	}
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func (f *Fleet) newVM(i int) *VM {
+	vm := &VM{
+		Name:     "vm-" + strconv.Itoa(i+1),
+		Zone:     "zone-" + string(rune('a'+i%3)),
+		Operator: FreeAddress(f.T),
+		LogProxy: NewProxy(f.T, f.logAddress),
+		fleet:    f,
+	}
+	callerListen, peerListen := FreeAddress(f.T), FreeAddress(f.T)
+	vm.CallerProxy = NewProxy(f.T, callerListen)
+	vm.PeerProxy = NewProxy(f.T, peerListen)
+	vm.Caller, vm.Peer = vm.CallerProxy.Address(), vm.PeerProxy.Address()
+	text := fmt.Sprintf(`vm: %s
+zone: %s
+caller: %s
+operator: %s
+peer: %s
+listen:
+  caller: %s
+  peer: %s
+bases: [%s]
+log:
+  address: %s
+  timeout: 500ms
+  retain: %s
+list:
+  address: %s
+  every: 200ms
+store:
+  rate: %g
+  most: 2
+  load: %s
+keys:
+  partitions: %d
+  life: %s
+limits:
+  queue: %d
+  silence: 1s
+logging:
+  level: info
+`, vm.Name, vm.Zone, vm.Caller, vm.Operator, vm.Peer, callerListen, peerListen, Base, vm.LogProxy.Address(),
+		f.Config.Retain, f.listAddress, f.Config.Rate, f.Config.Load, f.Config.Keys, f.Config.Life, f.Config.Queue)
+	vm.settings = filepath.Join(f.T.TempDir(), vm.Name+".yaml")
+	if err := os.WriteFile(vm.settings, []byte(text), 0o600); err != nil {
+		f.T.Fatalf("write settings: %v", err)
+	}
+	return vm
+}
+
+// ListAll puts all VMs but those that are named on the platform's list.
+func (f *Fleet) ListAll(without ...string) {
+	var listed []stand.ListedVM
+	for _, vm := range f.VMs {
+		if !contains(without, vm.Name) {
+			listed = append(listed, stand.ListedVM{Name: vm.Name, Zone: vm.Zone, Caller: vm.Caller, Peer: vm.Peer})
+		}
+	}
+	f.List.Set(listed...)
+}
+
+func contains(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Start starts the process.
+func (v *VM) Start() {
+	v.fleet.T.Helper()
+	output, err := os.CreateTemp(v.fleet.T.TempDir(), v.Name+"-*.log")
+	if err != nil {
+		v.fleet.T.Fatalf("open output: %v", err)
+	}
+	v.output = output
+	v.command = exec.Command(v.fleet.binary, "serve", "--settings", v.settings)
+	v.command.Stdout, v.command.Stderr = output, output
+	if err := v.command.Start(); err != nil {
+		v.fleet.T.Fatalf("start %s: %v", v.Name, err)
+	}
+	v.ended = make(chan struct{})
+	go v.run(v.command, v.ended)
+	v.fleet.T.Cleanup(func() { v.cleanUp() })
+}
+
+func (v *VM) run(command *exec.Cmd, ended chan struct{}) {
+	_ = command.Wait()
+	close(ended)
+}
+
+func (v *VM) cleanUp() {
+	v.Signal(syscall.SIGCONT)
+	v.Kill()
+	if v.fleet.T.Failed() {
+		text, _ := os.ReadFile(v.output.Name())
+		v.fleet.T.Logf("output of %s:\n%s", v.Name, text)
+	}
+	_ = v.output.Close()
+}
+
+// Signal sends a signal to the process.
+func (v *VM) Signal(s os.Signal) { _ = v.command.Process.Signal(s) }
+
+// Kill ends the process at once and waits until it is gone.
+func (v *VM) Kill() {
+	_ = v.command.Process.Kill()
+	<-v.ended
+}
+
+// Terminate starts the graceful shutdown.
+func (v *VM) Terminate() { v.Signal(syscall.SIGTERM) }
+
+// Ended returns a channel that is closed when the process has ended.
+func (v *VM) Ended() <-chan struct{} { return v.ended }
+
+// ExitCode returns the exit status of the process, which has ended.
+func (v *VM) ExitCode() int { return v.command.ProcessState.ExitCode() }
+
+// AwaitReady waits until the VM is ready.
+func (v *VM) AwaitReady() {
+	v.fleet.T.Helper()
+	Await(v.fleet.T, v.Name+" is ready", func() bool {
+		response, err := http.Get("http://" + v.Operator.String() + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+// awaitFor bounds what tests wait for. It is generous, as it decides only when
+// a test fails.
+const awaitFor = 30 * time.Second
+
+// Await waits until a condition holds.
+func Await(t testing.TB, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(awaitFor); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("not in time: %s", what)
+}
+
+// ModelDocument returns a document of a model service that uses all engines.
+func (f *Fleet) ModelDocument(adapters ...string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "service: lm-assist\nkind: model\nbase: %s\n", Base)
+	b.WriteString("calls:\n  - name: reply\n    urgency: urgent\n    deadline: 20s\n")
+	b.WriteString("  - name: summary\n    urgency: patient\n    deadline: 25s\nengines:\n")
+	for i, p := range f.EngineProxies {
+		fmt.Fprintf(&b, "  - name: e%d\n    address: %s\n    slots: %d\n    batch: %d\n    fences: %t\n",
+			i+1, p.Address(), f.Config.Slots, f.Config.Batch, f.Config.Fences)
+	}
+	b.WriteString("adapters:\n")
+	for _, a := range adapters {
+		name, version, _ := strings.Cut(a, "@")
+		fmt.Fprintf(&b, "  - name: %s\n    version: %s\n", name, version)
+	}
+	return b.String()
+}
+
+// PlainDocument returns a document of a plain service.
+func (f *Fleet) PlainDocument() string {
+	return fmt.Sprintf(`service: mailbox-api
+kind: plain
+calls:
+  - name: send
+    urgency: urgent
+    once: true
+    deadline: 5s
+  - name: list
+    urgency: urgent
+    deadline: 5s
+upstreams:
+  - name: m1
+    address: %s
+`, f.ServiceProxy.Address())
+}
