feat(guard): bound what callers and operators may send

Whole bodies are read within bounds of size, time and number before a handler sees them; all findings of settings and documents come together with their places.

--- a/cmd/tanagerlb/main.go
+++ b/cmd/tanagerlb/main.go
@@ -44,13 +44,17 @@
 			return fail(err)
 		}
 	}
-	if _, err := parser.ParseArgs(args); err != nil {
+	rest, err := parser.ParseArgs(args)
+	if err != nil {
 		return fail(err)
 	}
 	if o.Version {
 		fmt.Println("tanagerlb", buildVersion())
 		return 0
 	}
+	if parser.Active == nil && len(rest) > 0 {
+		return fail(&flags.Error{Type: flags.ErrUnknownCommand, Message: fmt.Sprintf("unknown command %q; see tanagerlb --help", rest[0])})
+	}
 	if parser.Active == nil {
 		parser.WriteHelp(os.Stdout)
 		return statusFindings
--- /dev/null
+++ b/e2e/hostile_test.go
@@ -0,0 +1,130 @@
+package e2e
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tanagerlb/tanagerlb/internal/testlib"
+)
+
+// send writes bytes to an address and returns the beginning of the answer.
+func send(address netip.AddrPort, text string) string {
+	c, err := net.DialTimeout("tcp", address.String(), time.Second)
+	if err != nil {
+		return err.Error()
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	_, _ = io.WriteString(c, text)
+	answer, _ := io.ReadAll(io.LimitReader(c, 256))
+	return string(answer)
+}
+
+func post(path, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+}
+
+// maxResident bounds the memory of a VM under hostile input, in bytes: the
+// target for control of a VM.
+const maxResident = 256 << 20
+
+// Hostile input gets a refusal, costs bounded memory, and harms nobody else.
+func TestHostileInput(t *testing.T) {
+	is := is.New(t)
+	f := testlib.NewFleet(t, testlib.FleetConfig{VMs: 1, Engines: 1})
+	f.MustPublish(f.ModelDocument("school-12@v1"))
+	f.AwaitOwned()
+	vm := f.VMs[0]
+	complete := "/v1/services/lm-assist/complete"
+	for _, c := range []struct {
+		name, text, want string
+	}{
+		{"not http", "\x00\xff\x00 hello\r\n\r\n", "HTTP/1.1 400"},
+		{"not json", post(complete, "{"), "HTTP/1.1 400"},
+		{"wrong type", post(complete, `{"adapter":7,"prompt":"x"}`), "HTTP/1.1 400"},
+		{"missing field", post(complete, `{"prompt":"x"}`), "HTTP/1.1 400"},
+		{"out of range", post(complete, `{"adapter":"school-12","prompt":"x","tokens":1000000000}`), "HTTP/1.1 400"},
+		{"long name", post(complete, `{"adapter":"`+strings.Repeat("a", 5000)+`","prompt":"x"}`), "HTTP/1.1 400"},
+		{"long prompt", post(complete, `{"adapter":"school-12","prompt":"`+strings.Repeat("a", 300_000)+`"}`), "HTTP/1.1 400"},
+		{"oversized", post(complete, strings.Repeat(" ", 2<<20)), "HTTP/1.1 413"},
+		{"deep", post(complete, strings.Repeat("[", 100_000)), "HTTP/1.1 400"},
+		{"header flood", "GET /v1/addresses HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("X-Flood: "+strings.Repeat("y", 1000)+"\r\n", 100) + "\r\n", "HTTP/1.1 431"},
+		{"unknown path", post("/v1/documents", "{}"), "HTTP/1.1 404"},
+	} {
+		got := send(vm.Caller, c.text)
+		if !strings.HasPrefix(got, c.want) {
+			t.Errorf("%s: got %.60q, want %s", c.name, got, c.want)
+		}
+	}
+	for _, address := range []netip.AddrPort{vm.Peer, vm.Operator, vm.Caller} {
+		for _, text := range []string{
+			"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + strings.Repeat("\xff", 10_000),
+			strings.Repeat("\x00", 100_000),
+		} {
+			send(address, text)
+		}
+	}
+	for range 50 {
+		send(vm.Caller, post(complete, strings.Repeat("[", 1<<20)))
+	}
+	is.True(vm.Metric("process_resident_memory_bytes") < maxResident) // bounded memory
+	is.True(vm.Metric(`tanagerlb_refusals_total{reason="http-413"}`) >= 1)
+	a := testlib.Complete(vm.Caller, "school-12", "still there", 3)
+	is.Equal(a.Outcome, "done")
+}
+
+// A caller cannot reach the interfaces of operators and peers.
+func TestPortsApart(t *testing.T) {
+	is := is.New(t)
+	f := testlib.NewFleet(t, testlib.FleetConfig{VMs: 1})
+	for _, path := range []string{"/v1/documents/lm-assist", "/v1/status", "/metrics", "/healthz"} {
+		response, err := http.Get("http://" + f.VMs[0].Caller.String() + path)
+		is.NoErr(err)
+		_ = response.Body.Close()
+		is.Equal(response.StatusCode, http.StatusNotFound)
+	}
+}
+
+// The command line tells what is wrong by its exit status.
+func TestCommandLine(t *testing.T) {
+	binary := testlib.Build(t, "tanagerlb")
+	for _, c := range []struct {
+		args   string
+		status int
+		want   string
+	}{
+		{"--version", 0, "tanagerlb"},
+		{"--help", 0, "Examples:"},
+		{"serve --help", 0, "--settings"},
+		{"", 2, "Examples:"},
+		{"serve", 2, "required flag"},
+		{"serve --settings no-such.yaml", 1, "no such file"},
+		{"check ../docs/examples/a1.yaml", 0, "settings ok"},
+		{"check ../docs/examples/lm-assist.yaml", 0, "document ok"},
+		{"check ../internal/config/testdata/bad.yaml", 2, "bad.yaml:6:1: unknown key"},
+		{"check ../pkg/spec/testdata/model.yaml", 2, "model.yaml:4:1: unknown key"},
+		{"publish ../pkg/spec/testdata/model.yaml", 2, "model.yaml:4:1: unknown key"},
+		{"publish --operator nonsense ../docs/examples/lm-assist.yaml", 1, "parse operator address"},
+		{"status --operator 127.0.0.1:1", 1, "refused"},
+		{"frobnicate", 2, "unknown command"},
+	} {
+		t.Run(c.args, func(t *testing.T) {
+			is := is.New(t)
+			command := exec.Command(binary, strings.Fields(c.args)...)
+			out, _ := command.CombinedOutput()
+			is.Equal(command.ProcessState.ExitCode(), c.status)
+			if !strings.Contains(string(out), c.want) {
+				t.Errorf("got %q, want %q", out, c.want)
+			}
+		})
+	}
+}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -38,6 +38,7 @@
 	c.keys(s)
 	within(c, "limits.attempts", s.Limits.Attempts, 1, 16)
 	within(c, "limits.retries", s.Limits.Retries, 0, 1)
+	within(c, "limits.calls", s.Limits.Calls, 1, 1_000_000)
 	within(c, "limits.queue", s.Limits.Queue, 1, 1_000_000)
 	within(c, "limits.silence", s.Limits.Silence, 100*time.Millisecond, time.Minute)
 	within(c, "limits.ttl", s.Limits.TTL, time.Second, time.Minute)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -76,6 +76,7 @@
 type Limits struct {
 	Attempts int           `yaml:"attempts"` // of one call
 	Retries  float64       `yaml:"retries"`  // share of retries among first attempts
+	Calls    int           `yaml:"calls"`    // in progress at once
 	Queue    int           `yaml:"queue"`    // requests waiting at an engine
 	Silence  time.Duration `yaml:"silence"`  // without progress, after which a link is given up
 	TTL      time.Duration `yaml:"ttl"`      // of an address answer
@@ -109,6 +110,7 @@
 		Limits: Limits{
 			Attempts: 4,
 			Retries:  0.2,
+			Calls:    2000,
 			Queue:    512,
 			Silence:  2 * time.Second,
 			TTL:      2 * time.Second,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,7 +38,6 @@
 
 const (
 	headerTimeout = 5 * time.Second  // for a request's headers
-	bodyTimeout   = 30 * time.Second // for a whole request
 	idleTimeout   = time.Minute      // of a caller's connection
 	maxHeader     = 16 << 10         // bytes of a request's headers
 	orderTimeout  = time.Second      // of engine reports and unloads
@@ -165,7 +164,13 @@
 	if d.operator, err = listen(s.Operator, handler); err != nil {
 		return err
 	}
-	handler = front.Handler(front.Config{Entry: d.entry, View: d.control.View, TTL: s.Limits.TTL})
+	handler = front.Handler(front.Config{
+		Entry:   d.entry,
+		View:    d.control.View,
+		TTL:     s.Limits.TTL,
+		Calls:   s.Limits.Calls,
+		Metrics: metrics,
+	})
 	d.callers, err = listen(s.CallerListen(), handler)
 	return err
 }
@@ -247,7 +252,6 @@
 	s := &server{listener: listener, http: &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       bodyTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
 	}}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	goahttp "goa.design/goa/v3/http"
@@ -12,6 +13,8 @@
 	"github.com/tanagerlb/tanagerlb/gen/caller"
 	"github.com/tanagerlb/tanagerlb/gen/http/caller/server"
 	"github.com/tanagerlb/tanagerlb/internal/entry"
+	"github.com/tanagerlb/tanagerlb/internal/guard"
+	"github.com/tanagerlb/tanagerlb/internal/metric"
 	"github.com/tanagerlb/tanagerlb/pkg/keys"
 	"github.com/tanagerlb/tanagerlb/pkg/member"
 	"github.com/tanagerlb/tanagerlb/pkg/node"
@@ -19,8 +22,10 @@
 
 // Bounds of the interface.
 const (
-	maxBody      = 1 << 20 // bytes of a request's body
-	addressCount = 3       // addresses in an answer
+	maxBody      = 1 << 20          // bytes of a request's body
+	maxReads     = 64               // bodies that are read at once
+	bodyTime     = 10 * time.Second // for a body to arrive
+	addressCount = 3                // addresses in an answer
 )
 
 // outcomeHeader tells the outcome of a call.
@@ -31,6 +36,9 @@
 	Entry *entry.Entry
 	View  func() *node.View
 	TTL   time.Duration // for which address answers may be kept
+	Calls int           // calls in progress at once
+
+	Metrics *metric.Set
 }
 
 // Front implements the generated caller service.
@@ -42,10 +50,17 @@
 	endpoints := caller.NewEndpoints(&Front{config: c})
 	s := server.New(endpoints, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, nil)
 	s.Mount(mux)
+	guarded := guard.New(guard.Config{
+		Handler: mux,
+		Body:    maxBody,
+		Time:    bodyTime,
+		Reads:   maxReads,
+		Calls:   c.Calls,
+		Refused: func(status int) { c.Metrics.Refused("http-" + strconv.Itoa(status)) },
+	})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		r.Body = http.MaxBytesReader(w, r.Body, maxBody)
 		ctx := context.WithValue(r.Context(), callerKey{}, host(r.RemoteAddr))
-		mux.ServeHTTP(&outcomeWriter{ResponseWriter: w}, r.WithContext(ctx))
+		guarded.ServeHTTP(&outcomeWriter{ResponseWriter: w}, r.WithContext(ctx))
 	})
 }
 
--- /dev/null
+++ b/internal/guard/guard_test.go
@@ -0,0 +1,98 @@
+package guard_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tanagerlb/tanagerlb/internal/guard"
+)
+
+type fixture struct {
+	*httptest.Server
+	mu       sync.Mutex
+	statuses []int
+}
+
+func newFixture(t *testing.T, calls int, handler http.HandlerFunc) *fixture {
+	f := &fixture{}
+	f.Server = httptest.NewServer(guard.New(guard.Config{
+		Handler: handler,
+		Body:    16,
+		Time:    100 * time.Millisecond,
+		Reads:   1,
+		Calls:   calls,
+		Refused: func(status int) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.statuses = append(f.statuses, status)
+		},
+	}))
+	t.Cleanup(f.Close)
+	return f
+}
+
+func echo(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }
+
+// raw sends bytes and returns the status line of the answer.
+func raw(t *testing.T, f *fixture, text string) string {
+	c, err := net.Dial("tcp", f.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	line, err := bufio.NewReader(c).ReadString('\n')
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	return strings.TrimSpace(line)
+}
+
+func TestGuard(t *testing.T) {
+	for _, c := range []struct {
+		name, request, want string
+	}{
+		{"whole", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK"},
+		{"none", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 200 OK"},
+		{"too large", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 17\r\n\r\n", "HTTP/1.1 413 Request Entity Too Large"},
+		{"too large in chunks", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n20\r\n" + strings.Repeat("a", 32) + "\r\n0\r\n\r\n", "HTTP/1.1 413 Request Entity Too Large"},
+		{"slow", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nok", "HTTP/1.1 408 Request Timeout"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, 8, echo)
+			is.Equal(raw(t, f, c.request), c.want)
+			refused := !strings.Contains(c.want, "200")
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			is.Equal(len(f.statuses) == 1, refused) // each refusal is counted
+		})
+	}
+}
+
+// Requests beyond the bound are refused at once, not queued.
+func TestGuardCalls(t *testing.T) {
+	is := is.New(t)
+	entered, release := make(chan bool), make(chan bool)
+	f := newFixture(t, 1, func(http.ResponseWriter, *http.Request) {
+		entered <- true
+		<-release
+	})
+	done := make(chan string)
+	go func() { done <- raw(t, f, "GET / HTTP/1.1\r\nHost: a\r\n\r\n") }()
+	<-entered
+	is.Equal(raw(t, f, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"), "HTTP/1.1 503 Service Unavailable")
+	close(release)
+	is.Equal(<-done, "HTTP/1.1 200 OK")
+}
--- a/internal/oper/oper.go
+++ b/internal/oper/oper.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	goahttp "goa.design/goa/v3/http"
@@ -13,6 +14,7 @@
 	"github.com/tanagerlb/tanagerlb/gen/http/operator/server"
 	"github.com/tanagerlb/tanagerlb/gen/operator"
 	"github.com/tanagerlb/tanagerlb/internal/ctrl"
+	"github.com/tanagerlb/tanagerlb/internal/guard"
 	"github.com/tanagerlb/tanagerlb/internal/metric"
 	"github.com/tanagerlb/tanagerlb/pkg/check"
 	"github.com/tanagerlb/tanagerlb/pkg/docs"
@@ -22,7 +24,10 @@
 )
 
 const (
-	maxBody     = 8 << 20 // bytes of a request's body
+	maxBody     = 8 << 20          // bytes of a request's body
+	bodyTime    = 10 * time.Second // for a body to arrive
+	maxReads    = 4                // bodies that are read at once
+	maxCalls    = 256              // requests in progress at once
 	verdictWait = 5 * time.Second
 	forceWait   = 10 * time.Second       // for a version to be in force everywhere
 	forcePause  = 100 * time.Millisecond // between two looks
@@ -48,9 +53,13 @@
 	mux.Handle(http.MethodGet, "/metrics", func(w http.ResponseWriter, _ *http.Request) { c.Metrics.Write(w) })
 	mux.Handle(http.MethodGet, "/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.Handle(http.MethodGet, "/readyz", o.ready)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		r.Body = http.MaxBytesReader(w, r.Body, maxBody)
-		mux.ServeHTTP(w, r)
+	return guard.New(guard.Config{
+		Handler: mux,
+		Body:    maxBody,
+		Time:    bodyTime,
+		Reads:   maxReads,
+		Calls:   maxCalls,
+		Refused: func(status int) { c.Metrics.Refused("operator-http-" + strconv.Itoa(status)) },
 	})
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -29,6 +29,14 @@
 // aliveEvery is the time between two signs of life of a call that waits.
 const aliveEvery = 300 * time.Millisecond
 
+// Bounds on what a peer may send.
+const (
+	maxRequest  = 2 << 20 // bytes of a request
+	maxStreams  = 4096    // requests at once on a connection
+	maxHeader   = 16 << 10
+	connectTime = 5 * time.Second
+)
+
 // ServerConfig sets up a Server.
 type ServerConfig struct {
 	Address netip.AddrPort
@@ -52,7 +60,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers on %s: %w", c.Address, err)
 	}
-	s := &Server{config: c, listener: listener, grpc: grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage))}
+	s := &Server{config: c, listener: listener}
+	s.grpc = grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxRequest),
+		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.MaxHeaderListSize(maxHeader),
+		grpc.ConnectionTimeout(connectTime),
+	)
 	peerpb.RegisterPeerServer(s.grpc, s)
 	go s.run()
 	return s, nil
--- a/pkg/check/decode.go
+++ b/pkg/check/decode.go
@@ -22,13 +22,14 @@
 type Tree struct {
 	List
 	places map[string]*yaml.Node
+	faulty map[string]bool // paths that have a finding of form
 }
 
 // Decode reads one YAML document into the struct that out points to. Unknown
 // and repeated keys, values of the wrong type, aliases and further documents
 // become findings. The values are named by paths such as "calls[2].urgency".
 func Decode(file string, text []byte, out any) *Tree {
-	t := &Tree{List: List{File: file}, places: map[string]*yaml.Node{}}
+	t := &Tree{List: List{File: file}, places: map[string]*yaml.Node{}, faulty: map[string]bool{}}
 	decoder := yaml.NewDecoder(bytes.NewReader(text))
 	var root yaml.Node
 	if err := decoder.Decode(&root); err != nil {
@@ -47,8 +48,20 @@
 }
 
 // At adds a finding at the value named by path, or at the nearest value that
-// encloses it.
+// encloses it. A value that could not be decoded has its finding already.
 func (t *Tree) At(path, format string, args ...any) {
+	if !t.faulty[path] {
+		t.add(path, format, args...)
+	}
+}
+
+// form adds a finding at a value that cannot be decoded.
+func (t *Tree) form(path, format string, args ...any) {
+	t.faulty[path] = true
+	t.add(path, format, args...)
+}
+
+func (t *Tree) add(path, format string, args ...any) {
 	line, column := 1, 1
 	for p := path; ; p = parent(p) {
 		if n, ok := t.places[p]; ok {
@@ -66,12 +79,6 @@
 	t.Addf(line, column, "%s", text)
 }
 
-// Has tells whether the text holds a value at path.
-func (t *Tree) Has(path string) bool {
-	_, ok := t.places[path]
-	return ok
-}
-
 func parent(path string) string {
 	i := strings.LastIndexAny(path, ".[")
 	if i < 0 {
@@ -99,9 +106,9 @@
 	t.places[path] = n
 	switch {
 	case depth > maxDepth:
-		t.At(path, "nested too deeply")
+		t.form(path, "nested too deeply")
 	case n.Kind == yaml.AliasNode:
-		t.At(path, "aliases are not allowed")
+		t.form(path, "aliases are not allowed")
 	case v.Kind() == reflect.Struct && !scalar(v):
 		t.walkStruct(n, v, path, depth)
 	case v.Kind() == reflect.Slice:
@@ -119,7 +126,7 @@
 
 func (t *Tree) walkStruct(n *yaml.Node, v reflect.Value, path string, depth int) {
 	if n.Kind != yaml.MappingNode {
-		t.At(path, "must be a mapping")
+		t.form(path, "must be a mapping")
 		return
 	}
 	fields := fieldsOf(v)
@@ -152,7 +159,7 @@
 
 func (t *Tree) walkSlice(n *yaml.Node, v reflect.Value, path string, depth int) {
 	if n.Kind != yaml.SequenceNode {
-		t.At(path, "must be a list")
+		t.form(path, "must be a list")
 		return
 	}
 	v.Set(reflect.MakeSlice(v.Type(), len(n.Content), len(n.Content)))
@@ -163,11 +170,11 @@
 
 func (t *Tree) walkScalar(n *yaml.Node, v reflect.Value, path string) {
 	if n.Kind != yaml.ScalarNode {
-		t.At(path, "must be a single value")
+		t.form(path, "must be a single value")
 		return
 	}
 	if err := n.Decode(v.Addr().Interface()); err != nil {
-		t.At(path, "%q is not a valid %s", n.Value, kindOf(v))
+		t.form(path, "%q is not a valid %s", n.Value, kindOf(v))
 	}
 }
 
--- a/pkg/spec/parse.go
+++ b/pkg/spec/parse.go
@@ -73,6 +73,11 @@
 	if len(c.bases) > 0 && d.Base != "" && !slices.Contains(c.bases, d.Base) {
 		c.tree.At("base", "unknown base model %q", d.Base)
 	}
+	for i, k := range d.Calls {
+		if k.Once {
+			c.tree.At(fmt.Sprintf("calls[%d].once", i), "only for plain services")
+		}
+	}
 	if len(d.Upstreams) > 0 {
 		c.tree.At("upstreams", "only for plain services")
 	}
