--- /dev/null
+++ b/bench/trace_test.go
@@ -0,0 +1,179 @@
+// Package bench measures the decisions in virtual time, with small fakes for
+// engines and the weight store, side by side with baselines. It counts only;
+// the same seed gives the same counts.
+package bench
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/tanagerlb/tanagerlb/pkg/slots"
+	"github.com/tanagerlb/tanagerlb/pkg/spec"
+)
+
+// workload describes a user's load. What the brief does not give is set here.
+type workload struct {
+	name     string
+	engines  int
+	slots    int // adapters resident on an engine
+	batch    int
+	adapters int
+	skew     float64 // exponent of the Zipf distribution of popularity
+	rate     float64 // requests a second
+	tokens   int     // mean tokens of an answer
+	step     time.Duration
+	loads    float64       // a second, of the weight store
+	load     time.Duration // of one adapter, two at once
+	weights  slots.Weights
+	warm     time.Duration // not counted
+	run      time.Duration // counted
+	flip     time.Duration // when popularity is dealt anew, after warm; 0 for never
+}
+
+var (
+	// pasta is Pasta Kopiena: many rarely used adapters, so that loads for
+	// the rare ones take most of the weight store's rate.
+	pasta = workload{
+		name: "pasta", engines: 12, slots: 8, batch: 16, adapters: 3000, skew: 1.1, rate: 14,
+		tokens: 60, step: 30 * time.Millisecond, loads: 5, load: 400 * time.Millisecond,
+		weights: slots.Weights{Stall: 2, Batch: 1}, warm: 5 * time.Minute, run: 10 * time.Minute,
+	}
+	// qureshi is Qureshi Mela at its peak: demand bunches to few adapters and
+	// asks for all that the engines can do.
+	qureshi = workload{
+		name: "qureshi", engines: 9, slots: 8, batch: 16, adapters: 3000, skew: 1.5, rate: 80,
+		tokens: 60, step: 30 * time.Millisecond, loads: 7, load: 285 * time.Millisecond,
+		weights: slots.Weights{Stall: 1, Batch: 2}, warm: 5 * time.Minute, run: 10 * time.Minute,
+	}
+)
+
+var epoch = time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC)
+
+// deadlines of the urgencies.
+var deadlines = [spec.Urgencies]time.Duration{10 * time.Second, 30 * time.Second, 2 * time.Minute}
+
+// request is a request of a trace.
+type request struct {
+	slots.Request
+	serve time.Duration // time on the engine
+}
+
+// trace returns the requests of a workload in order of arrival.
+func (w workload) trace(seed uint64) []request {
+	random := rand.New(rand.NewPCG(seed, 1))
+	sums := cumulative(w.adapters, w.skew)
+	ranks := random.Perm(w.adapters)
+	var trace []request
+	flipped := w.flip == 0
+	end := w.warm + w.run
+	for at := time.Duration(0); at < end; {
+		at += time.Duration(random.ExpFloat64() / w.rate * float64(time.Second))
+		if !flipped && at >= w.warm+w.flip {
+			flipped = true
+			ranks = random.Perm(w.adapters)
+		}
+		trace = append(trace, w.request(random, len(trace), epoch.Add(at), ranks[draw(random, sums)]))
+	}
+	return trace
+}
+
+func (w workload) request(random *rand.Rand, number int, at time.Time, adapter int) request {
+	urgency := spec.Patient
+	switch p := random.Float64(); {
+	case p < 0.2:
+		urgency = spec.Urgent
+	case p < 0.5:
+		urgency = spec.Normal
+	}
+	tokens := 1 + random.IntN(2*w.tokens-1)
+	return request{
+		Request: slots.Request{
+			ID:       fmt.Sprintf("r%07d", number),
+			Adapter:  spec.Adapter{Name: fmt.Sprintf("a%04d", adapter), Version: "v1"},
+			Urgency:  urgency,
+			Arrived:  at,
+			Deadline: at.Add(deadlines[urgency]),
+		},
+		serve: time.Duration(tokens) * w.step,
+	}
+}
+
+func cumulative(count int, skew float64) []float64 {
+	sums := make([]float64, count)
+	total := 0.0
+	for i := range sums {
+		total += math.Pow(float64(i+1), -skew)
+		sums[i] = total
+	}
+	return sums
+}
+
+func draw(random *rand.Rand, sums []float64) int {
+	return sort.SearchFloat64s(sums, random.Float64()*sums[len(sums)-1])
+}
+
+// result is what came of a trace.
+type result struct {
+	name      string
+	requests  int
+	done      int
+	refused   map[string]int
+	stalls    []time.Duration                 // of each done request
+	waits     [spec.Urgencies][]time.Duration // until the start, by urgency
+	refusedBy [spec.Urgencies]int
+	arrivedBy [spec.Urgencies]int
+	loads     int
+	evictions int
+	running   time.Duration // sum over requests of the time on an engine
+	busy      time.Duration // sum over engines of the time with a request
+	batch     int
+	windows   map[int]*window // by seconds/10 since the end of warm-up
+}
+
+type window struct {
+	stall time.Duration
+	count int
+}
+
+func (r *result) meanStall() time.Duration {
+	var sum time.Duration
+	for _, s := range r.stalls {
+		sum += s
+	}
+	return sum / time.Duration(max(len(r.stalls), 1))
+}
+
+func (r *result) stalled() float64 {
+	count := 0
+	for _, s := range r.stalls {
+		if s > 0 {
+			count++
+		}
+	}
+	return float64(count) / float64(max(len(r.stalls), 1))
+}
+
+func (r *result) fill() float64 {
+	return float64(r.running) / float64(r.busy) / float64(r.batch)
+}
+
+func percentile(values []time.Duration, share float64) time.Duration {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := append([]time.Duration(nil), values...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i] < sorted[j] })
+	return sorted[int(share*float64(len(sorted)-1))]
+}
+
+func (r *result) String() string {
+	per := func(n int) float64 { return 1000 * float64(n) / float64(max(r.requests, 1)) }
+	return fmt.Sprintf("%-22s done %6d/%6d  stall mean %7.1fms p99 %8.1fms share %5.1f%%  fill %5.3f  loads/1000 %6.1f evictions/1000 %6.1f  wait p99 urgent %6.0fms normal %6.0fms patient %6.0fms  refused %v",
+		r.name, r.done, r.requests, ms(r.meanStall()), ms(percentile(r.stalls, 0.99)), 100*r.stalled(), r.fill(),
+		per(r.loads), per(r.evictions), ms(percentile(r.waits[0], 0.99)), ms(percentile(r.waits[1], 0.99)), ms(percentile(r.waits[2], 0.99)), r.refused)
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
