--- a/bench/baseline_test.go
+++ b/bench/baseline_test.go
@@ -103,7 +103,7 @@
 		}
 		adapter := r.Adapter
 		e.asked = &adapter
-		ids := b.granter.Ask(now, permit.Ask{ID: permit.ID{VM: strconv.Itoa(number)}, Since: r.Arrived})
+		ids := b.granter.Ask(now, permit.Ask{ID: permit.ID{VM: strconv.Itoa(number)}, Weight: -float64(r.Arrived.UnixNano())})
 		b.grant(now, ids)
 		return
 	}
--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"math"
 	"testing"
 )
 
@@ -43,6 +44,39 @@
 	return us, baselines
 }
 
-func TestPasta(t *testing.T) { sideBySide(t, pasta, seed) }
+// least returns the least of a figure among baselines.
+func least(baselines []*result, figure func(*result) float64) float64 {
+	best := math.Inf(1)
+	for _, b := range baselines {
+		best = min(best, figure(b))
+	}
+	return best
+}
+
+func stallOf(r *result) float64 { return ms(r.meanStall()) }
+
+func fillOf(r *result) float64 { return r.fill() }
+
+// Pasta Kopiena weighs load stalls: the target is half of the best baseline's,
+// with batch fill no worse than that of any baseline.
+func TestPasta(t *testing.T) {
+	us, baselines := sideBySide(t, pasta, seed)
+	if limit := 0.5 * least(baselines, stallOf); stallOf(us) > limit {
+		t.Errorf("stall mean %.1f ms, want at most %.1f ms", stallOf(us), limit)
+	}
+	if limit := -least(baselines, func(r *result) float64 { return -fillOf(r) }); fillOf(us) < limit {
+		t.Errorf("fill %.3f, want at least %.3f", fillOf(us), limit)
+	}
+}
 
-func TestQureshi(t *testing.T) { sideBySide(t, qureshi, seed) }
+// Qureshi Mela weighs batch fill: the target is 1.25 times the best baseline's,
+// with load stalls no worse than those of any baseline.
+func TestQureshi(t *testing.T) {
+	us, baselines := sideBySide(t, qureshi, seed)
+	if limit := -1.25 * least(baselines, func(r *result) float64 { return -fillOf(r) }); fillOf(us) < limit {
+		t.Errorf("fill %.3f, want at least %.3f", fillOf(us), limit)
+	}
+	if limit := least(baselines, stallOf); stallOf(us) > limit {
+		t.Errorf("stall mean %.1f ms, want at most %.1f ms", stallOf(us), limit)
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -148,7 +148,7 @@
 func (o *Owner) start(ctx context.Context, r Request, sink Sink, s node.Start) Result {
 	o.config.Metrics.Stalled(r.Urgency.String(), s.Stalled)
 	o.config.Metrics.Filled(s.Fill)
-	sink.Hint(s.Spread, s.Queue)
+	sink.Hint(1, s.Queue)
 	c := infer.Completion{
 		ID:       r.ID,
 		Instance: s.Instance.String(),
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -150,10 +150,9 @@
 		return false, err
 	}
 	reply, err := client.Permit(ctx, &peerpb.PermitRequest{
-		Vm:       ask.VM,
-		Id:       ask.Name,
-		Urgency:  int32(ask.Urgency), //nolint:gosec // one of three values
-		WaitedMs: time.Since(ask.Since).Milliseconds(),
+		Vm:     ask.VM,
+		Id:     ask.Name,
+		Weight: ask.Weight,
 	})
 	if err != nil {
 		return false, fmt.Errorf("ask %s for a permit: %w", vm.Name, err)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -20,7 +20,6 @@
 	"github.com/tanagerlb/tanagerlb/pkg/node"
 	"github.com/tanagerlb/tanagerlb/pkg/permit"
 	"github.com/tanagerlb/tanagerlb/pkg/record"
-	"github.com/tanagerlb/tanagerlb/pkg/spec"
 )
 
 // grantWait is how long the granter holds a wish before it answers no.
@@ -110,11 +109,7 @@
 		s.config.Control.Post(node.PermitReleased{ID: id})
 		return &peerpb.PermitReply{}, nil
 	}
-	ask := permit.Ask{
-		ID:      id,
-		Urgency: spec.Urgency(r.GetUrgency()),
-		Since:   time.Now().Add(-time.Duration(r.GetWaitedMs()) * time.Millisecond),
-	}
+	ask := permit.Ask{ID: id, Weight: r.GetWeight()}
 	granted := s.config.Control.Ask(ctrl.PermitID(id), node.PermitAsked{Ask: ask})
 	timer := time.NewTimer(grantWait)
 	defer timer.Stop()
--- a/pkg/node/action.go
+++ b/pkg/node/action.go
@@ -47,7 +47,6 @@
 	Stalled  time.Duration
 	Boot     string  // incarnation of the engine
 	Fill     float64 // of the engine's batch, from 0 to 1
-	Spread   int     // over how many engines the adapter should be spread
 	Queue    int     // requests that the engine has
 }
 
--- a/pkg/node/engine.go
+++ b/pkg/node/engine.go
@@ -47,13 +47,12 @@
 		sched: slots.New(slots.Config{
 			Slots:   ref.engine.Slots,
 			Batch:   ref.engine.Batch,
-			Loads:   1,
 			Queue:   t.Queue,
 			Weights: n.config.Weights,
 			Load:    n.config.Store.Load,
 			Starve:  t.Starve,
 			Backoff: t.Backoff,
-			Memory:  t.Memory,
+			Demand:  t.Demand,
 			Fence:   h.Fence,
 		}),
 	}
@@ -64,7 +63,7 @@
 	actions := n.refuseWaiting(o, Handover)
 	delete(n.engines, o.name)
 	delete(n.preferred, o.name)
-	n.dropPermits(o)
+	n.returnPermit(o.name)
 	return actions
 }
 
@@ -248,17 +247,17 @@
 	clean := o.holding.Clean || n.members.Gone(o.holding.Before)
 	usable := err == nil && (clean || o.ref.engine.Fences)
 	foreign := err != nil || !clean || now.Before(o.holding.Drain)
-	o.sched.Adopt(found, usable, foreign)
+	o.sched.Adopt(now, found, usable, foreign)
 }
 
 func (n *Node) loadEnded(now time.Time, e LoadEnded) []Action {
-	actions := n.returnPermit(e.Engine, e.Instance.Adapter)
+	n.returnPermit(e.Engine)
 	o, ok := n.engines[e.Engine]
 	if !ok {
-		return actions
+		return nil
 	}
 	o.sched.Loaded(now, e.Instance, e.OK)
-	return append(actions, n.advance(now, o)...)
+	return n.advance(now, o)
 }
 
 func (n *Node) unloadEnded(now time.Time, e UnloadEnded) []Action {
@@ -292,9 +291,9 @@
 		case slots.Unload:
 			actions = append(actions, Unload{Engine: o.name, Address: address, Instance: d.Instance, Fence: o.holding.Fence})
 		case slots.Want:
-			n.askPermit(o.name, d)
+			n.wishFor(o.name, d.Weight)
 		case slots.Drop:
-			actions = append(actions, n.returnPermit(o.name, d.Adapter)...)
+			n.returnPermit(o.name)
 		}
 	}
 	return actions
@@ -312,7 +311,6 @@
 		Stalled:  s.Stalled,
 		Boot:     o.boot,
 		Fill:     float64(o.sched.Running()) / float64(o.ref.engine.Batch),
-		Spread:   o.sched.Spread(s.Request.Adapter),
 		Queue:    o.sched.Running() + o.sched.Waiting(),
 	}
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -8,6 +8,7 @@
 
 	"github.com/tanagerlb/tanagerlb/pkg/claim"
 	"github.com/tanagerlb/tanagerlb/pkg/crash"
+	"github.com/tanagerlb/tanagerlb/pkg/demand"
 	"github.com/tanagerlb/tanagerlb/pkg/docs"
 	"github.com/tanagerlb/tanagerlb/pkg/keys"
 	"github.com/tanagerlb/tanagerlb/pkg/member"
@@ -52,7 +53,7 @@
 	Settle   time.Duration // before an engine is handed to its preferred owner
 	Starve   time.Duration // wait after which an adapter is loaded first
 	Backoff  time.Duration // after the first failed load
-	Memory   time.Duration // half-life of demand
+	Demand   demand.Config // estimates of demand
 	Suspect  time.Duration // that a suspicion lasts
 	Retain   time.Duration // that the log keeps records
 	Queue    int           // requests waiting at an engine
@@ -70,9 +71,9 @@
 		Drift:    500 * time.Millisecond,
 		Grace:    2 * time.Second,
 		Settle:   10 * time.Second,
-		Starve:   4 * time.Second,
+		Starve:   1 * time.Second,
 		Backoff:  500 * time.Millisecond,
-		Memory:   60 * time.Second,
+		Demand:   demand.Config{Half: 10 * time.Minute, Young: 10 * time.Minute},
 		Suspect:  10 * time.Minute,
 		Retain:   time.Hour,
 		Queue:    512,
--- a/pkg/node/permits.go
+++ b/pkg/node/permits.go
@@ -8,60 +8,51 @@
 
 	"github.com/tanagerlb/tanagerlb/pkg/member"
 	"github.com/tanagerlb/tanagerlb/pkg/permit"
-	"github.com/tanagerlb/tanagerlb/pkg/slots"
-	"github.com/tanagerlb/tanagerlb/pkg/spec"
 )
 
 const (
 	permitWait = 2 * time.Second        // how long the granter remembers a wish
 	askAgain   = 700 * time.Millisecond // after which a wish is repeated
+	tellEvery  = 100 * time.Millisecond // least time between two weights told
 )
 
-// wish is a permit that this VM wants or holds.
+// wish is a permit that an engine of this VM wants or holds.
 type wish struct {
 	engine  string
-	adapter spec.Adapter
 	ask     permit.Ask
 	asked   time.Time
+	news    bool // the weight has grown since
 	granted bool
 }
 
-func (n *Node) wishID(engine string, a spec.Adapter) permit.ID {
-	return permit.ID{VM: n.config.Self.Name, Name: engine + " " + a.String()}
+func (n *Node) wishID(engine string) permit.ID {
+	return permit.ID{VM: n.config.Self.Name, Name: engine}
 }
 
-// askPermit notes a scheduler's wish; grant asks for it.
-func (n *Node) askPermit(engine string, w slots.Want) {
-	id := n.wishID(engine, w.Adapter)
-	n.wishes[id] = &wish{
-		engine:  engine,
-		adapter: w.Adapter,
-		ask:     permit.Ask{ID: id, Urgency: w.Urgency, Since: w.Since},
-	}
-}
-
-func (n *Node) returnPermit(engine string, a spec.Adapter) []Action {
-	id := n.wishID(engine, a)
-	if _, ok := n.wishes[id]; !ok {
-		return nil
+// wishFor notes a scheduler's wish; grant asks for it.
+func (n *Node) wishFor(engine string, weight float64) {
+	id := n.wishID(engine)
+	w, ok := n.wishes[id]
+	if !ok {
+		w = &wish{engine: engine, ask: permit.Ask{ID: id}}
+		n.wishes[id] = w
 	}
-	delete(n.wishes, id)
-	n.returns = append(n.returns, id)
-	return nil
+	w.ask.Weight, w.news = weight, true
 }
 
-func (n *Node) dropPermits(o *owned) {
-	for _, w := range n.sortedWishes() {
-		if w.engine == o.name {
-			n.returnPermit(o.name, w.adapter)
-		}
+// returnPermit gives an engine's permit back, or withdraws its wish.
+func (n *Node) returnPermit(engine string) {
+	id := n.wishID(engine)
+	if _, ok := n.wishes[id]; ok {
+		delete(n.wishes, id)
+		n.returns = append(n.returns, id)
 	}
 }
 
 // sortedWishes returns the wishes in a fixed order.
 func (n *Node) sortedWishes() []*wish {
 	return slices.SortedFunc(maps.Values(n.wishes), func(a, b *wish) int {
-		return strings.Compare(a.ask.Name, b.ask.Name)
+		return strings.Compare(a.engine, b.engine)
 	})
 }
 
@@ -100,10 +91,10 @@
 	}
 	n.returns = nil
 	for _, w := range n.sortedWishes() {
-		if w.granted || now.Sub(w.asked) < askAgain {
+		if w.granted || !w.due(now) {
 			continue
 		}
-		w.asked = now
+		w.asked, w.news = now, false
 		if local {
 			actions = append(actions, n.permitAsked(now, PermitAsked{Ask: w.ask})...)
 			continue
@@ -116,6 +107,12 @@
 	return actions
 }
 
+// due tells whether a wish is to be told to the granter now.
+func (w *wish) due(now time.Time) bool {
+	since := now.Sub(w.asked)
+	return since >= askAgain || (w.news && since >= tellEvery)
+}
+
 func (n *Node) permitAsked(now time.Time, e PermitAsked) []Action {
 	if n.granter == nil || !n.mayAct(now) {
 		return nil
@@ -152,8 +149,9 @@
 	w.granted = true
 	o, ok := n.engines[w.engine]
 	if !ok || n.actable(now, o) != "" {
-		return n.returnPermit(w.engine, w.adapter)
+		n.returnPermit(w.engine)
+		return nil
 	}
-	o.sched.Grant(w.adapter)
+	o.sched.Grant()
 	return n.advance(now, o)
 }
--- a/pkg/permit/permit.go
+++ b/pkg/permit/permit.go
@@ -5,8 +5,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/tanagerlb/tanagerlb/pkg/spec"
 )
 
 // ID names a wish for a permit, and the permit once it is granted.
@@ -18,8 +16,7 @@
 // Ask is a wish for a permit.
 type Ask struct {
 	ID
-	Urgency spec.Urgency
-	Since   time.Time // since when requests wait for the load
+	Weight float64 // worth of the load; the largest goes first
 }
 
 // Config sets up a Granter.
@@ -117,10 +114,10 @@
 
 func compare(a, b waiting) int {
 	switch {
-	case a.Urgency != b.Urgency:
-		return int(a.Urgency) - int(b.Urgency)
-	case !a.Since.Equal(b.Since):
-		return a.Since.Compare(b.Since)
+	case a.Weight > b.Weight:
+		return -1
+	case a.Weight < b.Weight:
+		return 1
 	case a.VM < b.VM || (a.VM == b.VM && a.Name < b.Name):
 		return -1
 	default:
--- a/pkg/slots/events.go
+++ b/pkg/slots/events.go
@@ -1,7 +1,6 @@
 package slots
 
 import (
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -13,101 +12,101 @@
 	maxBackoffs   = 6               // doublings of the pause between failed loads
 	minRetryAfter = 1 * time.Second // shortest advice when to come back
 	smoothing     = 0.1             // share of the newest run in the smoothed time
-	forget        = 0.01            // demand below which an adapter is forgotten
 )
 
 // Add takes a request. It returns a Refuse if the request cannot be run in
 // time.
 func (e *Engine) Add(now time.Time, r Request) []Action {
-	a := e.adapter(now, r.Adapter)
-	a.age(now, e.config.Memory)
-	a.demand++
+	a := e.adapter(r.Adapter)
+	a.meter.Add(now, e.config.Demand)
+	a.rate = r.Demand
 	if r.Urgency == spec.Urgent {
 		e.urgent = now
 	}
 	if reason, after := e.admit(now, r, a); reason != "" {
 		return []Action{Refuse{Request: r, Reason: reason, After: after}}
 	}
-	a.waiting = append(a.waiting, &r)
-	e.waiting++
-	if _, ok := e.ready(r.Adapter); !ok && a.blocked.IsZero() {
-		a.blocked = now
-	}
+	at, _ := slices.BinarySearchFunc(a.waiting, &r, order)
+	a.waiting = slices.Insert(a.waiting, at, &r)
+	e.queued[r.Adapter] = a
+	e.waiting[r.Urgency]++
 	return nil
 }
 
+// order is the order in which requests are to start: the most urgent and then
+// the oldest first.
+func order(a, b *Request) int {
+	if a.Urgency != b.Urgency {
+		return int(a.Urgency) - int(b.Urgency)
+	}
+	if c := a.Arrived.Compare(b.Arrived); c != 0 {
+		return c
+	}
+	return strings.Compare(a.ID, b.ID)
+}
+
 func (e *Engine) admit(now time.Time, r Request, a *adapter) (Reason, time.Duration) {
-	wait := e.expected(r)
-	_, resident := e.ready(r.Adapter)
+	wait := e.expected(r.Urgency)
 	switch {
-	case e.waiting >= e.config.Queue:
+	case e.Waiting() >= e.config.Queue:
 		return QueueFull, max(wait, minRetryAfter)
 	case now.Add(wait).After(r.Deadline):
 		return Overload, max(wait, minRetryAfter)
-	case resident:
-		return "", 0
-	case now.Before(a.retry) && a.retry.After(r.Deadline):
-		return LoadFailing, max(a.retry.Sub(now), minRetryAfter)
-	case now.Add(e.config.Load).After(r.Deadline):
-		return LoadLate, minRetryAfter
 	default:
-		return "", 0
+		reason := e.hopeless(now, r.Adapter, a, &r)
+		return reason, max(a.retry.Sub(now), minRetryAfter)
 	}
 }
 
 // expected estimates how long a request waits behind those that go first.
-func (e *Engine) expected(r Request) time.Duration {
-	if e.service == 0 || len(e.running)+e.waiting < e.config.Batch {
-		return 0
-	}
+func (e *Engine) expected(urgency spec.Urgency) time.Duration {
 	ahead := 1
-	for _, a := range e.adapters {
-		for _, w := range a.waiting {
-			if w.Urgency <= r.Urgency {
-				ahead++
-			}
-		}
+	for u := spec.Urgent; u <= urgency; u++ {
+		ahead += e.waiting[u]
+	}
+	if len(e.running)+ahead <= e.config.Batch {
+		return 0
 	}
 	return time.Duration(float64(e.service) * float64(ahead) / float64(e.config.Batch))
 }
 
+// remove takes a request out of the queue.
+func (e *Engine) remove(a *adapter, at int) *Request {
+	r := a.waiting[at]
+	a.waiting = slices.Delete(a.waiting, at, at+1)
+	e.waiting[r.Urgency]--
+	if len(a.waiting) == 0 {
+		delete(e.queued, r.Adapter)
+	}
+	return r
+}
+
 // Cancel forgets a waiting request. One that runs must be finished instead.
 func (e *Engine) Cancel(id string) {
-	for _, a := range e.adapters {
+	for _, a := range e.queued {
 		at := slices.IndexFunc(a.waiting, func(r *Request) bool { return r.ID == id })
 		if at >= 0 {
-			a.waiting = slices.Delete(a.waiting, at, at+1)
-			e.waiting--
+			e.remove(a, at)
 			return
 		}
 	}
 }
 
-// Flush gives up all waiting requests and wishes for permits, because they
-// are to go elsewhere. It returns the requests, the oldest first.
+// Flush gives up all waiting requests and the wish for a permit, because they
+// are to go elsewhere. It returns the requests, the first to start first.
 func (e *Engine) Flush() ([]Request, []Action) {
 	var flushed []Request
-	var actions []Action
 	for _, name := range e.names() {
-		a := e.adapters[name]
-		for _, r := range a.waiting {
-			flushed = append(flushed, *r)
-		}
-		a.waiting, a.blocked = nil, time.Time{}
-		if _, held := e.instances[name]; a.permit != none && !held {
-			a.permit = none
-			e.loads--
-			actions = append(actions, Drop{Adapter: name})
+		for a := e.queued[name]; len(a.waiting) > 0; {
+			flushed = append(flushed, *e.remove(a, 0))
 		}
 	}
-	e.waiting = 0
-	slices.SortFunc(flushed, func(a, b Request) int {
-		if c := a.Arrived.Compare(b.Arrived); c != 0 {
-			return c
-		}
-		return strings.Compare(a.ID, b.ID)
-	})
-	return flushed, actions
+	slices.SortFunc(flushed, func(a, b Request) int { return order(&a, &b) })
+	if e.permit != wanted && e.permit != granted {
+		return flushed, nil
+	}
+	e.permit = none
+	return flushed, []Action{Drop{}}
 }
 
 // Finish takes that a request no longer runs.
@@ -138,14 +137,13 @@
 	e.service += time.Duration(smoothing * float64(run-e.service))
 }
 
-// Grant takes a permit to load an adapter.
-func (e *Engine) Grant(name spec.Adapter) {
-	a, ok := e.adapters[name]
-	if !ok || a.permit != wanted {
-		e.drops = append(e.drops, Drop{Adapter: name})
+// Grant takes a permit.
+func (e *Engine) Grant() {
+	if e.permit != wanted {
+		e.drops = append(e.drops, Drop{})
 		return
 	}
-	a.permit = granted
+	e.permit = granted
 }
 
 // Loaded takes how a load ended. The permit is spent.
@@ -154,11 +152,10 @@
 	if !known || i.phase != loading || i.Instance != loaded {
 		return
 	}
-	e.loads--
-	a := e.adapter(now, loaded.Adapter)
-	a.permit = none
+	e.permit = none
+	a := e.adapter(loaded.Adapter)
 	if ok {
-		i.phase, i.usable = ready, true
+		i.phase, i.usable, i.since = ready, true, now
 		a.failures, a.retry = 0, time.Time{}
 		return
 	}
@@ -190,28 +187,26 @@
 		lost = append(lost, *r)
 		delete(e.running, id)
 	}
-	for _, name := range e.names() {
-		if a := e.adapters[name]; a.permit != none {
-			a.permit = none
-			e.drops = append(e.drops, Drop{Adapter: name})
-		}
+	if e.permit != none {
+		e.permit = none
+		e.drops = append(e.drops, Drop{})
 	}
 	clear(e.instances)
 	clear(e.began)
-	e.loads, e.suspects = 0, 0
+	e.suspects = 0
 	return lost
 }
 
 // Adopt takes an instance that an owner before loaded. A usable one runs
 // requests; a foreign one is never unloaded.
-func (e *Engine) Adopt(found Instance, usable, foreign bool) {
+func (e *Engine) Adopt(now time.Time, found Instance, usable, foreign bool) {
 	if i, known := e.instances[found.Adapter]; known {
 		if i.Instance == found {
 			i.usable, i.foreign = usable && !i.lost, foreign
 		}
 		return
 	}
-	e.instances[found.Adapter] = &instance{Instance: found, phase: ready, usable: usable, foreign: foreign}
+	e.instances[found.Adapter] = &instance{Instance: found, phase: ready, since: now, usable: usable, foreign: foreign}
 }
 
 // Lost takes that the engine no longer holds an instance.
@@ -226,24 +221,16 @@
 	}
 }
 
-// age halves the demand each half-life.
-func (a *adapter) age(now time.Time, half time.Duration) {
-	if passed := now.Sub(a.updated); passed > 0 {
-		a.demand *= math.Exp2(-float64(passed) / float64(half))
-		a.updated = now
-	}
-}
-
 // sweep forgets adapters without demand, so that memory follows use.
 func (e *Engine) sweep(now time.Time) {
-	if now.Sub(e.swept) < e.config.Memory {
+	if now.Sub(e.swept) < e.config.Demand.Young {
 		return
 	}
 	e.swept = now
 	for name, a := range e.adapters {
-		a.age(now, e.config.Memory)
-		idle := len(a.waiting) == 0 && a.permit == none && !now.Before(a.retry)
-		if _, held := e.instances[name]; idle && !held && a.demand < forget {
+		_, held := e.instances[name]
+		idle := len(a.waiting) == 0 && !held && !now.Before(a.retry)
+		if idle && now.Sub(a.meter.Last()) > e.config.Demand.Half {
 			delete(e.adapters, name)
 		}
 	}
--- a/pkg/slots/next.go
+++ b/pkg/slots/next.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	reserveShare  = 8                // one place in so many is kept for urgent requests
-	reserveMemory = 30 * time.Second // how long after an urgent request places are kept
+	reserveShare  = 32                    // one place in so many is kept for urgent requests
+	reserveMemory = 30 * time.Second      // how long after an urgent request places are kept
+	expireEvery   = 20 * time.Millisecond // between two looks for hopeless requests
+	tellAgain     = 2                     // growth of a wish's weight that is told, in waiting requests
 )
 
 // Next returns what there is to do at now. It must be called after each
@@ -27,29 +29,22 @@
 
 // expire refuses the waiting requests that can no longer be run in time.
 func (e *Engine) expire(now time.Time) []Action {
+	if now.Sub(e.expired) < expireEvery {
+		return nil
+	}
+	e.expired = now
 	var actions []Action
 	for _, name := range e.names() {
-		a := e.adapters[name]
-		kept := a.waiting[:0]
-		for _, r := range a.waiting {
-			reason := e.hopeless(now, name, a, r)
+		a := e.queued[name]
+		for at := 0; at < len(a.waiting); {
+			reason := e.hopeless(now, name, a, a.waiting[at])
 			if reason == "" {
-				kept = append(kept, r)
+				at++
 				continue
 			}
-			e.waiting--
+			r := e.remove(a, at)
 			actions = append(actions, Refuse{Request: *r, Reason: reason, After: minRetryAfter})
 		}
-		clear(a.waiting[len(kept):])
-		a.waiting = kept
-		if len(kept) == 0 {
-			a.blocked = time.Time{}
-		}
-		if len(kept) == 0 && a.permit != none && !e.Holds(name) {
-			a.permit = none
-			e.loads--
-			actions = append(actions, Drop{Adapter: name})
-		}
 	}
 	return actions
 }
@@ -69,14 +64,11 @@
 	}
 }
 
-// names returns the adapters with waiting requests or permits, in a fixed
-// order.
+// names returns the adapters with waiting requests, in a fixed order.
 func (e *Engine) names() []spec.Adapter {
-	var names []spec.Adapter
-	for name, a := range e.adapters {
-		if len(a.waiting) > 0 || a.permit != none {
-			names = append(names, name)
-		}
+	names := make([]spec.Adapter, 0, len(e.queued))
+	for name := range e.queued {
+		names = append(names, name)
 	}
 	slices.SortFunc(names, compare)
 	return names
@@ -89,39 +81,39 @@
 	return strings.Compare(a.Version, b.Version)
 }
 
-// start runs waiting requests whose adapters are ready, the most urgent and
-// then the oldest first, while the batch has room.
+// start runs waiting requests whose adapters are ready while the batch has
+// room.
 func (e *Engine) start(now time.Time) []Action {
 	var actions []Action
 	for len(e.running) < e.config.Batch {
-		r, i := e.pick(now)
-		if r == nil {
+		a, at := e.pick(now)
+		if a == nil {
 			break
 		}
-		actions = append(actions, e.run(now, r, i))
+		actions = append(actions, e.run(now, a, at))
 	}
 	return actions
 }
 
-func (e *Engine) pick(now time.Time) (*Request, *instance) {
-	var best *Request
-	var on *instance
-	for name, a := range e.adapters {
-		i, ok := e.ready(name)
-		if !ok || i.drain {
+// pick returns the request that starts next, by its adapter and its place
+// there.
+func (e *Engine) pick(now time.Time) (*adapter, int) {
+	var best *adapter
+	place := 0
+	for name, a := range e.queued {
+		if i, ok := e.ready(name); !ok || i.drain {
 			continue
 		}
-		for _, r := range a.waiting {
-			if e.allowed(now, r) && (best == nil || before(r, best)) {
-				best, on = r, i
-			}
+		at := slices.IndexFunc(a.waiting, func(r *Request) bool { return e.allowed(now, r) })
+		if at >= 0 && (best == nil || order(a.waiting[at], best.waiting[place]) < 0) {
+			best, place = a, at
 		}
 	}
-	return best, on
+	return best, place
 }
 
 func (e *Engine) allowed(now time.Time, r *Request) bool {
-	if r.Suspect && e.suspects > 0 {
+	if (r.Suspect && e.suspects > 0) || !now.Before(r.Deadline) {
 		return false
 	}
 	room := e.config.Batch - len(e.running)
@@ -136,72 +128,47 @@
 	return e.config.Batch / reserveShare
 }
 
-func before(a, b *Request) bool {
-	if a.Urgency != b.Urgency {
-		return a.Urgency < b.Urgency
-	}
-	if !a.Arrived.Equal(b.Arrived) {
-		return a.Arrived.Before(b.Arrived)
-	}
-	return a.ID < b.ID
-}
-
-func (e *Engine) run(now time.Time, r *Request, i *instance) Action {
-	a := e.adapters[r.Adapter]
-	at := slices.Index(a.waiting, r)
-	a.waiting = append(a.waiting[:at:at], a.waiting[at+1:]...)
-	e.waiting--
+func (e *Engine) run(now time.Time, a *adapter, at int) Action {
+	r := e.remove(a, at)
+	i := e.instances[r.Adapter]
 	e.running[r.ID] = r
 	e.began[r.ID] = now
 	i.running++
 	if r.Suspect {
 		e.suspects++
 	}
-	var stalled time.Duration
-	if !a.blocked.IsZero() {
-		stalled = now.Sub(laterOf(a.blocked, r.Arrived))
-	}
-	if len(a.waiting) == 0 {
-		a.blocked = time.Time{}
-	}
-	return Start{Request: *r, Instance: i.Instance, Stalled: stalled}
+	return Start{Request: *r, Instance: i.Instance, Stalled: max(i.since.Sub(r.Arrived), 0)}
 }
 
-func laterOf(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+// load begins a load if one is permitted and there is room, or makes room.
+func (e *Engine) load(now time.Time) []Action {
+	if e.permit != granted {
+		return nil
+	}
+	name, _, ok := e.candidate(now)
+	if !ok {
+		return e.drop()
+	}
+	if len(e.instances) < e.config.Slots {
+		e.permit = spent
+		i := &instance{Instance: Instance{Adapter: name, Fence: e.config.Fence}, phase: loading}
+		e.instances[name] = i
+		return []Action{Load{Instance: i.Instance}}
 	}
-	return b
+	if e.unloads() > 0 {
+		return nil
+	}
+	v := e.victim(now)
+	if v == nil {
+		return e.drop()
+	}
+	v.phase, v.drain = unloading, false
+	return []Action{Unload{Instance: v.Instance}}
 }
 
-// load begins the loads that are permitted, as far as there is room, and makes
-// room for the others.
-func (e *Engine) load(now time.Time) []Action {
-	var actions []Action
-	for _, name := range e.names() {
-		a := e.adapters[name]
-		if _, held := e.instances[name]; a.permit != granted || held {
-			continue
-		}
-		if len(e.instances) < e.config.Slots {
-			i := &instance{Instance: Instance{Adapter: name, Fence: e.config.Fence}, phase: loading}
-			e.instances[name] = i
-			actions = append(actions, Load{Instance: i.Instance})
-			continue
-		}
-		if e.unloads() >= e.grants() {
-			continue
-		}
-		if v := e.victim(now); v != nil {
-			v.phase, v.drain = unloading, false
-			actions = append(actions, Unload{Instance: v.Instance})
-			continue
-		}
-		e.loads--
-		a.permit = none
-		actions = append(actions, Drop{Adapter: name})
-	}
-	return actions
+func (e *Engine) drop() []Action {
+	e.permit = none
+	return []Action{Drop{}}
 }
 
 func (e *Engine) unloads() int {
@@ -214,135 +181,110 @@
 	return count
 }
 
-// grants returns the number of permitted loads that have no slot yet.
-func (e *Engine) grants() int {
-	count := 0
-	for name, a := range e.adapters {
-		if _, held := e.instances[name]; a.permit == granted && !held {
-			count++
-		}
-	}
-	return count
-}
-
 // victim returns the idle instance with the least demand, or nil.
 func (e *Engine) victim(now time.Time) *instance {
+	return e.least(now, func(i *instance) bool {
+		_, waited := e.queued[i.Adapter]
+		return i.running == 0 && (!waited || i.drain)
+	})
+}
+
+// least returns the instance with the least demand of those that may be
+// unloaded and that a condition holds for, or nil.
+func (e *Engine) least(now time.Time, holds func(i *instance) bool) *instance {
 	var worst *instance
-	least := 0.0
+	lowest := 0.0
 	for name, i := range e.instances {
-		if i.phase != ready || i.foreign || i.lost || i.running > 0 {
-			continue
-		}
-		a := e.adapter(now, name)
-		if len(a.waiting) > 0 && !i.drain {
+		if i.phase != ready || i.foreign || i.lost || !holds(i) {
 			continue
 		}
-		a.age(now, e.config.Memory)
-		if worst == nil || a.demand < least || (a.demand == least && compare(name, worst.Adapter) < 0) {
-			worst, least = i, a.demand
+		d := e.demand(now, name)
+		if worst == nil || d < lowest || (d == lowest && compare(name, worst.Adapter) < 0) {
+			worst, lowest = i, d
 		}
 	}
 	return worst
 }
 
-// want asks for permits for the adapters that should be loaded next.
+// want asks for a permit if an adapter should be loaded and could be.
 func (e *Engine) want(now time.Time) []Action {
-	var actions []Action
-	for e.loads < e.config.Loads {
-		name, ok := e.candidate(now)
-		if !ok {
-			break
-		}
-		if !e.room(now, name) {
-			break
-		}
-		a := e.adapters[name]
-		a.permit = wanted
-		e.loads++
-		actions = append(actions, Want{Adapter: name, Urgency: a.urgency(), Since: a.blocked})
+	if e.permit != none && e.permit != wanted {
+		return nil
 	}
-	return actions
+	_, weight, ok := e.candidate(now)
+	switch {
+	case !ok && e.permit == wanted:
+		return e.drop()
+	case !ok || !e.room(now):
+		return nil
+	case e.permit == wanted && weight-e.told < tellAgain*max(e.config.Weights.Batch, 1):
+		return nil
+	}
+	e.permit, e.told = wanted, weight
+	return []Action{Want{Weight: weight}}
 }
 
 // candidate returns the adapter with waiting requests that is worth a load
-// most.
-func (e *Engine) candidate(now time.Time) (spec.Adapter, bool) {
+// most, and its worth.
+func (e *Engine) candidate(now time.Time) (spec.Adapter, float64, bool) {
 	var best spec.Adapter
 	top := -1.0
-	for name, a := range e.adapters {
-		if len(a.waiting) == 0 || a.permit != none || now.Before(a.retry) {
+	for name, a := range e.queued {
+		if _, held := e.instances[name]; held || now.Before(a.retry) {
 			continue
 		}
-		if _, held := e.instances[name]; held {
-			continue
-		}
-		if a.blocked.IsZero() {
-			a.blocked = now
-		}
-		s := e.worth(now, a)
-		if s > top || (s == top && compare(name, best) < 0) {
-			best, top = name, s
+		w := e.worth(now, a)
+		if w > top || (w == top && compare(name, best) < 0) {
+			best, top = name, w
 		}
 	}
-	return best, top >= 0
+	return best, top, top >= 0
 }
 
-// worth weighs the work that a load would let run against the time that it
-// has waited. A starving adapter comes first.
+// urgencyStep is above the worth of any requests of one urgency, so that a
+// more urgent one always goes first.
+const urgencyStep = 1e9
+
+// worth weighs the requests that a load would let run, and the time that they
+// have waited. The most urgent request decides first.
 func (e *Engine) worth(now time.Time, a *adapter) float64 {
-	waited := now.Sub(a.blocked)
-	urgency := float64(spec.Urgencies - int(a.urgency()))
-	stall := e.config.Weights.Stall * urgency * float64(waited) / float64(e.config.Load)
-	batch := e.config.Weights.Batch * float64(len(a.waiting))
-	if waited > e.config.Starve {
-		return starving + stall
+	first := a.waiting[0].Urgency
+	sum := urgencyStep * float64(spec.Patient-first)
+	for _, r := range a.waiting {
+		waited := now.Sub(r.Arrived).Seconds() / e.config.Starve.Seconds()
+		sum += e.config.Weights.Batch + e.config.Weights.Stall*waited
 	}
-	return stall + batch
+	return sum
 }
 
-// starving is above the worth of any adapter that does not starve.
-const starving = 1e9
-
-// room tells whether there is or soon will be a slot for an adapter. For one
-// that starves it drains the instance with the least demand.
-func (e *Engine) room(now time.Time, name spec.Adapter) bool {
-	if len(e.instances)+e.grants() < e.config.Slots {
-		return true
-	}
-	if e.victim(now) != nil {
+// room tells whether there is or soon will be a slot. If there is none for too
+// long, it drains the instance with the least demand.
+func (e *Engine) room(now time.Time) bool {
+	if len(e.instances) < e.config.Slots || e.unloads() > 0 || e.victim(now) != nil {
 		return true
 	}
-	if now.Sub(e.adapters[name].blocked) > e.config.Starve {
-		e.drain(now)
+	for name, a := range e.queued {
+		if _, held := e.instances[name]; !held && e.starves(now, a.waiting[0]) {
+			e.drain(now)
+			break
+		}
 	}
 	return false
 }
 
+// starves tells whether a request has waited for a slot for so long that a
+// busy instance has to make room.
+func (e *Engine) starves(now time.Time, r *Request) bool {
+	return now.Sub(r.Arrived) > e.config.Starve*time.Duration(1+r.Urgency)
+}
+
 func (e *Engine) drain(now time.Time) {
-	var worst *instance
-	least := 0.0
-	for name, i := range e.instances {
+	for _, i := range e.instances {
 		if i.drain {
 			return
 		}
-		if i.phase != ready || i.foreign || i.lost {
-			continue
-		}
-		a := e.adapter(now, name)
-		a.age(now, e.config.Memory)
-		if worst == nil || a.demand < least || (a.demand == least && compare(name, worst.Adapter) < 0) {
-			worst, least = i, a.demand
-		}
 	}
-	if worst != nil {
+	if worst := e.least(now, func(*instance) bool { return true }); worst != nil {
 		worst.drain = true
 	}
 }
-
-func (a *adapter) urgency() spec.Urgency {
-	most := spec.Patient
-	for _, r := range a.waiting {
-		most = min(most, r.Urgency)
-	}
-	return most
-}
--- a/pkg/slots/slots.go
+++ b/pkg/slots/slots.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/tanagerlb/tanagerlb/pkg/demand"
 	"github.com/tanagerlb/tanagerlb/pkg/spec"
 )
 
@@ -48,7 +49,8 @@
 	Urgency  spec.Urgency
 	Arrived  time.Time
 	Deadline time.Time
-	Suspect  bool // was running when an engine crashed
+	Suspect  bool    // was running when an engine crashed
+	Demand   float64 // requests a second for the adapter, of all that this engine is to serve; 0 if not known
 }
 
 // Weights set what the scheduler prefers. Only their ratio matters.
@@ -61,13 +63,12 @@
 type Config struct {
 	Slots   int // adapters resident at once
 	Batch   int // requests running at once
-	Loads   int // loads in progress at once
 	Queue   int // requests waiting at once
 	Weights Weights
 	Load    time.Duration // expected time of a load
-	Starve  time.Duration // wait after which a request's adapter is loaded first
+	Starve  time.Duration // wait after which an instance is drained to make room
 	Backoff time.Duration // pause after the first failed load of an adapter
-	Memory  time.Duration // half-life of the demand for an adapter
+	Demand  demand.Config // estimates where requests do not tell the demand
 	Fence   int64         // fencing number of the owner
 }
 
@@ -95,15 +96,13 @@
 // Unload unloads an idle instance.
 type Unload struct{ Instance Instance }
 
-// Want asks for a permit to load an adapter from the weight store.
-type Want struct {
-	Adapter spec.Adapter
-	Urgency spec.Urgency
-	Since   time.Time
-}
+// Want asks for a permit to load an adapter from the weight store, or tells a
+// new weight of the wish. Which adapter is loaded is decided when the permit
+// is granted.
+type Want struct{ Weight float64 }
 
-// Drop gives a permit back, or withdraws the wish for one.
-type Drop struct{ Adapter spec.Adapter }
+// Drop gives the permit back, or withdraws the wish for one.
+type Drop struct{}
 
 func (Start) action()  {}
 func (Refuse) action() {}
@@ -135,6 +134,7 @@
 type instance struct {
 	Instance
 	phase   phase
+	since   time.Time // when it became ready
 	running int
 	foreign bool // loaded by an owner before; never unloaded while that one may act
 	usable  bool // may run requests
@@ -147,18 +147,17 @@
 const (
 	none permission = iota
 	wanted
-	granted
+	granted // and not yet spent
+	spent   // on a load in progress
 )
 
 // adapter is what is remembered about an adapter's demand and loads.
 type adapter struct {
-	waiting  []*Request
-	permit   permission
-	demand   float64   // requests, halved each Memory
-	updated  time.Time // when demand was aged last
+	waiting  []*Request // in the order in which they are to start
+	meter    demand.Meter
+	rate     float64 // requests a second, as the newest request told
 	failures int
 	retry    time.Time // no load before
-	blocked  time.Time // since when the oldest request waits for a load
 }
 
 // Engine schedules one engine. Its methods must not be called at the same
@@ -167,14 +166,17 @@
 	config    Config
 	instances map[spec.Adapter]*instance
 	adapters  map[spec.Adapter]*adapter
+	queued    map[spec.Adapter]*adapter // those with waiting requests
 	running   map[string]*Request
-	waiting   int
-	loads     int           // wanted, granted or in progress
-	suspects  int           // running
-	service   time.Duration // smoothed time that a request runs
-	began     map[string]time.Time
+	began     map[string]time.Time // of those that run
+	waiting   [spec.Urgencies]int
+	permit    permission
+	told      float64 // weight of the wish for a permit, as told last
+	suspects  int     // running
+	service   time.Duration
 	urgent    time.Time // when an urgent request arrived last
 	swept     time.Time
+	expired   time.Time
 	drops     []Action // permits to give back
 }
 
@@ -184,6 +186,7 @@
 		config:    c,
 		instances: map[spec.Adapter]*instance{},
 		adapters:  map[spec.Adapter]*adapter{},
+		queued:    map[spec.Adapter]*adapter{},
 		running:   map[string]*Request{},
 		began:     map[string]time.Time{},
 	}
@@ -193,7 +196,13 @@
 func (e *Engine) Running() int { return len(e.running) }
 
 // Waiting returns the number of requests that wait.
-func (e *Engine) Waiting() int { return e.waiting }
+func (e *Engine) Waiting() int {
+	sum := 0
+	for _, count := range e.waiting {
+		sum += count
+	}
+	return sum
+}
 
 // Ordered tells whether an order to load or unload is in progress.
 func (e *Engine) Ordered() bool {
@@ -216,29 +225,16 @@
 	return resident
 }
 
-// Spread returns over how many engines the requests for an adapter should be
-// spread, as its demand on this engine shows.
-func (e *Engine) Spread(name spec.Adapter) int {
-	load := 0
-	if a, ok := e.adapters[name]; ok {
-		load += len(a.waiting)
-	}
-	if i, ok := e.instances[name]; ok {
-		load += i.running
-	}
-	return 1 + load/e.config.Batch
-}
-
 // Holds tells whether an adapter is loaded or being loaded.
 func (e *Engine) Holds(a spec.Adapter) bool {
 	i, ok := e.instances[a]
-	return ok && i.phase != unloading
+	return ok && i.phase != unloading && !i.drain
 }
 
-func (e *Engine) adapter(now time.Time, name spec.Adapter) *adapter {
+func (e *Engine) adapter(name spec.Adapter) *adapter {
 	a, ok := e.adapters[name]
 	if !ok {
-		a = &adapter{updated: now}
+		a = &adapter{}
 		e.adapters[name] = a
 	}
 	return a
@@ -248,3 +244,16 @@
 	i, ok := e.instances[a]
 	return i, ok && i.phase == ready && i.usable
 }
+
+// demand returns the requests a second that are to be expected for an adapter.
+func (e *Engine) demand(now time.Time, name spec.Adapter) float64 {
+	a, ok := e.adapters[name]
+	if !ok {
+		return 0
+	}
+	rate := a.rate
+	if rate == 0 {
+		rate = a.meter.Rate(now, e.config.Demand)
+	}
+	return demand.Fade(rate, now.Sub(a.meter.Last()))
+}
