feat(node): place requests through the directory of their adapter

Now the directory of an adapter, a VM by rendezvous order over live VMs, places it by the bids of engine owners and keeps it there until an owner tells of its eviction. If a directory does not answer in 500 ms, the entry VM goes by rendezvous order; a new directory learns from the bids which engines hold the adapter.

--- a/e2e/main_test.go
+++ b/e2e/main_test.go
@@ -6,6 +6,8 @@
 	"os"
 	"testing"
 
+	_ "github.com/tanagerlb/tanagerlb/internal/daemon" // so that go test does not take a cached result for changed processes
+	_ "github.com/tanagerlb/tanagerlb/internal/demo"
 	"github.com/tanagerlb/tanagerlb/internal/testlib"
 )
 
--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -17,7 +17,9 @@
 	"github.com/tanagerlb/tanagerlb/pkg/member"
 	"github.com/tanagerlb/tanagerlb/pkg/node"
 	"github.com/tanagerlb/tanagerlb/pkg/permit"
+	"github.com/tanagerlb/tanagerlb/pkg/place"
 	"github.com/tanagerlb/tanagerlb/pkg/record"
+	"github.com/tanagerlb/tanagerlb/pkg/spec"
 )
 
 // Peers is the port to the other VMs.
@@ -30,6 +32,10 @@
 	Ask(ctx context.Context, vm member.VM, ask permit.Ask) (bool, error)
 	// Return gives a permit back to the granter.
 	Return(ctx context.Context, vm member.VM, id permit.ID) error
+	// Bids asks the owner of engines for bids on an adapter.
+	Bids(ctx context.Context, owner node.BidOwner, a spec.Adapter) ([]place.Bid, error)
+	// Evicted tells the directory of an adapter that an engine unloads it.
+	Evicted(ctx context.Context, vm member.VM, e node.Evicted) error
 }
 
 // Runner is the port that runs keyed calls.
@@ -149,6 +155,27 @@
 	}
 }
 
+// Place places a request, if this VM is the directory of its adapter.
+func (l *Loop) Place(ctx context.Context, ask node.PlaceAsked) (node.Placed, error) {
+	id := PlaceID(ask.ID)
+	reply := l.Ask(id, ask)
+	select {
+	case a := <-reply:
+		placed, _ := a.(node.Placed)
+		return placed, nil
+	case <-ctx.Done():
+		l.Forget(id)
+		return node.Placed{}, ctx.Err()
+	}
+}
+
+// Bids returns the bids of this VM's engines for an adapter.
+func (l *Loop) Bids(a spec.Adapter, engines []string) []place.Bid {
+	var bids []place.Bid
+	l.Query(func(now time.Time, n *node.Node) { bids = n.Bids(now, a, engines) })
+	return bids
+}
+
 // Append hands a record to the log.
 func (l *Loop) Append(stream string, data []byte) {
 	l.config.Metrics.Appended(stream)
--- a/internal/ctrl/do.go
+++ b/internal/ctrl/do.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,12 +13,14 @@
 	"github.com/tanagerlb/tanagerlb/internal/logs"
 	"github.com/tanagerlb/tanagerlb/pkg/node"
 	"github.com/tanagerlb/tanagerlb/pkg/permit"
+	"github.com/tanagerlb/tanagerlb/pkg/place"
 	"github.com/tanagerlb/tanagerlb/pkg/spec"
 )
 
 const (
 	readPause    = 200 * time.Millisecond // after a failed read of the log
 	probeTimeout = 400 * time.Millisecond // of each of the two tries
+	bidTimeout   = 300 * time.Millisecond // for bids
 	peerTimeout  = time.Second            // of other exchanges between VMs
 	orderTries   = 3                      // for an order whose answer was lost
 	orderPause   = 100 * time.Millisecond // between these tries
@@ -45,6 +50,10 @@
 		go (&permitJob{loop: l, ask: a}).run(ctx)
 	case node.ReturnPermit:
 		go (&returnJob{loop: l, action: a}).run(ctx)
+	case node.AskBids:
+		go (&bidsJob{loop: l, action: a, self: l.view.Load().Self.Name}).run(ctx)
+	case node.TellEvicted:
+		go (&evictedJob{loop: l, action: a}).run(ctx)
 	case node.Run:
 		l.runner.Run(ctx, a.Call)
 	case node.Ignored:
@@ -69,6 +78,8 @@
 		id = a.ID
 	case node.Grant:
 		id = PermitID(a.ID)
+	case node.Placed:
+		id = PlaceID(a.ID)
 	case node.Judged:
 		id = a.Nonce
 	}
@@ -84,6 +95,9 @@
 // PermitID returns the id under which the grant of a permit is awaited.
 func PermitID(id permit.ID) string { return "permit " + id.VM + " " + id.Name }
 
+// PlaceID returns the id under which the place of a request is awaited.
+func PlaceID(id string) string { return "place " + id }
+
 // self is called on the control thread.
 func (l *Loop) self() Self {
 	v := l.view.Load()
@@ -261,6 +275,65 @@
 	}
 }
 
+// bidsJob asks the owners of engines for bids, all at once.
+type bidsJob struct {
+	loop   *Loop
+	action node.AskBids
+	self   string
+	mu     sync.Mutex
+	bids   []place.Bid
+	asks   sync.WaitGroup
+}
+
+func (j *bidsJob) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, bidTimeout)
+	defer cancel()
+	for _, owner := range j.action.Owners {
+		j.asks.Add(1)
+		go (&bidAsk{job: j, owner: owner}).run(ctx)
+	}
+	j.asks.Wait()
+	slices.SortFunc(j.bids, func(a, b place.Bid) int { return strings.Compare(a.Engine, b.Engine) })
+	j.loop.Post(node.BidsTaken{Service: j.action.Service, Adapter: j.action.Adapter, Bids: j.bids})
+}
+
+// bidAsk asks one owner.
+type bidAsk struct {
+	job   *bidsJob
+	owner node.BidOwner
+}
+
+func (a *bidAsk) run(ctx context.Context) {
+	defer a.job.asks.Done()
+	var bids []place.Bid
+	if a.owner.VM.Name == a.job.self {
+		bids = a.job.loop.Bids(a.job.action.Adapter, a.owner.Engines)
+	} else {
+		var err error
+		if bids, err = a.job.loop.config.Peers.Bids(ctx, a.owner, a.job.action.Adapter); err != nil {
+			a.job.loop.config.Metrics.Failed("bids")
+		}
+	}
+	a.job.mu.Lock()
+	defer a.job.mu.Unlock()
+	a.job.bids = append(a.job.bids, bids...)
+}
+
+// evictedJob tells a directory of an eviction. If that fails, the directory
+// learns it with the next bids.
+type evictedJob struct {
+	loop   *Loop
+	action node.TellEvicted
+}
+
+func (j *evictedJob) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	if err := j.loop.config.Peers.Evicted(ctx, j.action.Directory, j.action.Evicted); err != nil {
+		j.loop.config.Metrics.Failed("directory")
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,7 +31,6 @@
 	"github.com/tanagerlb/tanagerlb/internal/vms"
 	"github.com/tanagerlb/tanagerlb/pkg/member"
 	"github.com/tanagerlb/tanagerlb/pkg/node"
-	"github.com/tanagerlb/tanagerlb/pkg/place"
 	"github.com/tanagerlb/tanagerlb/pkg/retry"
 	"github.com/tanagerlb/tanagerlb/pkg/slots"
 )
@@ -43,7 +42,6 @@
 	orderTimeout  = time.Second      // of engine reports and unloads
 	loadTimeout   = 30 * time.Second // of a load
 	dialTimeout   = time.Second      // for connecting to a plain service
-	hintsKept     = 5 * time.Second  // for which hints of engine owners are used
 	retryPause    = 20 * time.Millisecond
 	retryLongest  = 400 * time.Millisecond
 	retryBurst    = 20          // retries saved up
@@ -114,6 +112,7 @@
 	keep := keeper.New(keeper.Config{Control: d.control, Services: services, Metrics: metrics})
 	d.entry = entry.New(entry.Config{
 		View:     d.control.View,
+		Place:    d.control.Place,
 		Peers:    d.pool,
 		Owner:    own,
 		Keeper:   keep,
@@ -127,7 +126,6 @@
 			Longest:  retryLongest,
 			Calls:    retryNames,
 		},
-		Hints:   place.Config{Keep: hintsKept},
 		Streams: s.Keys.Partitions,
 		Boot:    boot,
 	})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -28,6 +28,7 @@
 
 // Peers is the port to the other VMs.
 type Peers interface {
+	Place(ctx context.Context, vm member.VM, ask node.PlaceAsked) (node.Placed, error)
 	Complete(ctx context.Context, vm member.VM, r owner.Request, sink owner.Sink) owner.Result
 	Invoke(ctx context.Context, vm member.VM, r keeper.Request) (keys.Answer, error)
 }
@@ -35,13 +36,13 @@
 // Config sets up an Entry.
 type Config struct {
 	View     func() *node.View
+	Place    func(ctx context.Context, ask node.PlaceAsked) (node.Placed, error) // as a directory
 	Peers    Peers
 	Owner    *owner.Owner   // for the engines of this VM
 	Keeper   *keeper.Keeper // for the keys of this VM
 	Services plain.Services // for calls that may be repeated
 	Metrics  *metric.Set
 	Retry    retry.Config
-	Hints    place.Config
 	Streams  int // partitions of plain keys
 	Boot     string
 }
@@ -58,7 +59,7 @@
 
 // New returns an entry.
 func New(c Config) *Entry {
-	return &Entry{config: c, hints: place.New(c.Hints), budget: retry.New(c.Retry)}
+	return &Entry{config: c, hints: place.New(), budget: retry.New(c.Retry)}
 }
 
 // Active returns the number of calls that have no answer yet.
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -174,7 +177,7 @@
 func (m *modelRun) attempt(ctx context.Context) owner.Result {
 	now := time.Now()
 	view := m.entry.config.View()
-	m.engine = m.pick(now)
+	m.place(ctx, now, view)
 	if m.engine == "" {
 		clear(m.tried)
 		return owner.Result{Reason: NoEngine}
@@ -208,11 +211,45 @@
 	return m.entry.config.Peers.Complete(ctx, charge.VM, m.request, m)
 }
 
-func (m *modelRun) pick(now time.Time) string {
+// place finds the engine of the next attempt: it asks the directory of the
+// adapter, and goes by rendezvous order if that does not answer.
+func (m *modelRun) place(ctx context.Context, now time.Time, view *node.View) {
+	placed, err := m.ask(ctx, view)
+	if err == nil {
+		m.engine, m.request.Demand = placed.Engine, placed.Demand
+		return
+	}
+	m.entry.config.Metrics.Failed("directory")
+	m.request.Demand = 0
 	engines := Engines(m.edition)
 	m.entry.mu.Lock()
 	defer m.entry.mu.Unlock()
-	return m.entry.hints.Pick(now, m.request.Adapter.String(), engines, m.tried)
+	m.engine = m.entry.hints.Pick(now, m.request.Adapter.String(), engines, m.tried)
+}
+
+// placeTimeout bounds the wait for a directory.
+const placeTimeout = 500 * time.Millisecond
+
+// errNoDirectory tells that no VM is the directory of an adapter.
+var errNoDirectory = errors.New("no directory")
+
+func (m *modelRun) ask(ctx context.Context, view *node.View) (node.Placed, error) {
+	directory, ok := view.Directory(m.call.Service, m.request.Adapter)
+	if !ok {
+		return node.Placed{}, errNoDirectory
+	}
+	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	ask := node.PlaceAsked{
+		ID:      m.entry.NewID(),
+		Service: m.call.Service,
+		Adapter: m.request.Adapter,
+		Tried:   slices.Sorted(maps.Keys(m.tried)),
+	}
+	if directory.Name == view.Self.Name {
+		return m.entry.config.Place(ctx, ask)
+	}
+	return m.entry.config.Peers.Place(ctx, directory, ask)
 }
 
 // Engines returns the names of the engines of a document.
@@ -250,12 +287,8 @@
 	}
 }
 
-// Hint takes what the owner of the engine says of it.
-func (m *modelRun) Hint(spread, queue int) {
-	m.entry.mu.Lock()
-	defer m.entry.mu.Unlock()
-	m.entry.hints.Hint(time.Now(), m.request.Adapter.String(), spread, m.engine, queue)
-}
+// Started takes that the engine is given the request.
+func (m *modelRun) Started() { m.ran = true }
 
 // Token takes the next token. One that is out of order belongs to no whole
 // answer.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -39,13 +39,13 @@
 	Deadline time.Time
 	Print    crash.Print
 	Suspect  bool
+	Demand   float64 // requests a second for the adapter on the engine
 }
 
 // Sink takes what a call yields, from one goroutine.
 type Sink interface {
-	// Hint takes over how many engines the adapter should be spread, and how
-	// many requests the engine has.
-	Hint(spread, queue int)
+	// Started takes that the engine is given the request.
+	Started()
 	// Token takes the next token. An error ends the call.
 	Token(offset int, text string) error
 }
@@ -88,6 +88,7 @@
 		Arrived:  r.Arrived,
 		Deadline: r.Deadline,
 		Suspect:  r.Suspect,
+		Demand:   r.Demand,
 	}, Engine: r.Engine, Print: r.Print}
 	reply := o.config.Control.Ask(r.ID, arrived)
 	select {
@@ -148,7 +149,7 @@
 func (o *Owner) start(ctx context.Context, r Request, sink Sink, s node.Start) Result {
 	o.config.Metrics.Stalled(r.Urgency.String(), s.Stalled)
 	o.config.Metrics.Filled(s.Fill)
-	sink.Hint(1, s.Queue)
+	sink.Started()
 	c := infer.Completion{
 		ID:       r.ID,
 		Instance: s.Instance.String(),
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -10,6 +10,7 @@
 	"github.com/tanagerlb/tanagerlb/pkg/crash"
 	"github.com/tanagerlb/tanagerlb/pkg/member"
 	"github.com/tanagerlb/tanagerlb/pkg/node"
+	"github.com/tanagerlb/tanagerlb/pkg/place"
 	"github.com/tanagerlb/tanagerlb/pkg/spec"
 )
 
@@ -58,6 +59,7 @@
 		BudgetMs: r.Deadline.Sub(now).Milliseconds(),
 		Print:    uint64(r.Print),
 		Suspect:  r.Suspect,
+		Demand:   r.Demand,
 	}
 }
 
@@ -75,5 +77,36 @@
 		Deadline: now.Add(time.Duration(w.GetBudgetMs()) * time.Millisecond),
 		Print:    crash.Print(w.GetPrint()),
 		Suspect:  w.GetSuspect(),
+		Demand:   w.GetDemand(),
 	}
 }
+
+func encodeBids(bids []place.Bid) []*peerpb.Bid {
+	encoded := make([]*peerpb.Bid, len(bids))
+	for i, b := range bids {
+		encoded[i] = &peerpb.Bid{
+			Engine:    b.Engine,
+			Holds:     b.Holds,
+			Cost:      b.Cost,
+			Queue:     int32(b.Queue), //nolint:gosec // a small count
+			Batch:     int32(b.Batch), //nolint:gosec // bounded by the document
+			ServiceUs: b.Service.Microseconds(),
+		}
+	}
+	return encoded
+}
+
+func decodeBids(encoded []*peerpb.Bid) []place.Bid {
+	bids := make([]place.Bid, len(encoded))
+	for i, b := range encoded {
+		bids[i] = place.Bid{
+			Engine:  b.GetEngine(),
+			Holds:   b.GetHolds(),
+			Cost:    b.GetCost(),
+			Queue:   int(b.GetQueue()),
+			Batch:   int(b.GetBatch()),
+			Service: time.Duration(b.GetServiceUs()) * time.Microsecond,
+		}
+	}
+	return bids
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -21,7 +21,9 @@
 	"github.com/tanagerlb/tanagerlb/pkg/member"
 	"github.com/tanagerlb/tanagerlb/pkg/node"
 	"github.com/tanagerlb/tanagerlb/pkg/permit"
+	"github.com/tanagerlb/tanagerlb/pkg/place"
 	"github.com/tanagerlb/tanagerlb/pkg/record"
+	"github.com/tanagerlb/tanagerlb/pkg/spec"
 )
 
 // PeerSilent tells that the owner's VM made no progress on a call.
@@ -172,6 +174,51 @@
 	return nil
 }
 
+// Place asks the directory of an adapter for the engine of a request.
+func (p *Pool) Place(ctx context.Context, vm member.VM, ask node.PlaceAsked) (node.Placed, error) {
+	client, err := p.client(vm.Peer)
+	if err != nil {
+		return node.Placed{}, err
+	}
+	reply, err := client.Place(ctx, &peerpb.PlaceRequest{
+		Id:      ask.ID,
+		Service: ask.Service,
+		Adapter: ask.Adapter.Name,
+		Version: ask.Adapter.Version,
+		Tried:   ask.Tried,
+	})
+	if err != nil {
+		return node.Placed{}, fmt.Errorf("ask %s for a place: %w", vm.Name, err)
+	}
+	return node.Placed{ID: ask.ID, Engine: reply.GetEngine(), Demand: reply.GetDemand()}, nil
+}
+
+// Bids asks the owner of engines for bids on an adapter.
+func (p *Pool) Bids(ctx context.Context, owner node.BidOwner, a spec.Adapter) ([]place.Bid, error) {
+	client, err := p.client(owner.VM.Peer)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := client.Bid(ctx, &peerpb.BidRequest{Adapter: a.Name, Version: a.Version, Engines: owner.Engines})
+	if err != nil {
+		return nil, fmt.Errorf("ask %s for bids: %w", owner.VM.Name, err)
+	}
+	return decodeBids(reply.GetBids()), nil
+}
+
+// Evicted tells the directory of an adapter that an engine unloads it.
+func (p *Pool) Evicted(ctx context.Context, vm member.VM, e node.Evicted) error {
+	client, err := p.client(vm.Peer)
+	if err != nil {
+		return err
+	}
+	request := &peerpb.EvictedRequest{Service: e.Service, Adapter: e.Adapter.Name, Version: e.Adapter.Version, Engine: e.Engine}
+	if _, err := client.Evicted(ctx, request); err != nil {
+		return fmt.Errorf("tell %s of an eviction: %w", vm.Name, err)
+	}
+	return nil
+}
+
 // Complete runs a model call at the VM that owns the engine. Without progress
 // it is given up.
 func (p *Pool) Complete(ctx context.Context, vm member.VM, r owner.Request, sink owner.Sink) owner.Result {
@@ -198,9 +245,9 @@
 			return owner.Result{Reason: brokenBy(err), Started: started}
 		}
 		switch e := event.GetEvent().(type) {
-		case *peerpb.CompleteEvent_Hint:
+		case *peerpb.CompleteEvent_Started:
 			started = true
-			sink.Hint(int(e.Hint.GetSpread()), int(e.Hint.GetQueue()))
+			sink.Started()
 		case *peerpb.CompleteEvent_Token:
 			if err := sink.Token(int(e.Token.GetOffset()), e.Token.GetText()); err != nil {
 				return owner.Result{Reason: owner.Canceled, Started: true}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -20,6 +20,7 @@
 	"github.com/tanagerlb/tanagerlb/pkg/node"
 	"github.com/tanagerlb/tanagerlb/pkg/permit"
 	"github.com/tanagerlb/tanagerlb/pkg/record"
+	"github.com/tanagerlb/tanagerlb/pkg/spec"
 )
 
 // grantWait is how long the granter holds a wish before it answers no.
@@ -123,6 +124,36 @@
 	}
 }
 
+// Place answers with the engine of a request, as the directory of its adapter.
+func (s *Server) Place(ctx context.Context, r *peerpb.PlaceRequest) (*peerpb.PlaceReply, error) {
+	placed, err := s.config.Control.Place(ctx, node.PlaceAsked{
+		ID:      r.GetId(),
+		Service: r.GetService(),
+		Adapter: spec.Adapter{Name: r.GetAdapter(), Version: r.GetVersion()},
+		Tried:   r.GetTried(),
+	})
+	if err != nil {
+		return nil, status.FromContextError(err).Err()
+	}
+	return &peerpb.PlaceReply{Engine: placed.Engine, Demand: placed.Demand}, nil
+}
+
+// Bid answers with the bids of this VM's engines.
+func (s *Server) Bid(_ context.Context, r *peerpb.BidRequest) (*peerpb.BidReply, error) {
+	adapter := spec.Adapter{Name: r.GetAdapter(), Version: r.GetVersion()}
+	return &peerpb.BidReply{Bids: encodeBids(s.config.Control.Bids(adapter, r.GetEngines()))}, nil
+}
+
+// Evicted takes that an engine unloads an adapter.
+func (s *Server) Evicted(_ context.Context, r *peerpb.EvictedRequest) (*peerpb.EvictedReply, error) {
+	s.config.Control.Post(node.Evicted{
+		Service: r.GetService(),
+		Adapter: spec.Adapter{Name: r.GetAdapter(), Version: r.GetVersion()},
+		Engine:  r.GetEngine(),
+	})
+	return &peerpb.EvictedReply{}, nil
+}
+
 // Complete runs a model call on an engine of this VM.
 func (s *Server) Complete(w *peerpb.CompleteRequest, stream peerpb.Peer_CompleteServer) error {
 	r := decodeRequest(time.Now(), w)
@@ -186,10 +217,9 @@
 	}
 }
 
-// Hint passes a hint on.
-func (s *streamSink) Hint(spread, queue int) {
-	hint := &peerpb.Hint{Spread: int32(spread), Queue: int32(queue)} //nolint:gosec // small counts
-	_ = s.send(&peerpb.CompleteEvent{Event: &peerpb.CompleteEvent_Hint{Hint: hint}})
+// Started passes on that the engine is given the request.
+func (s *streamSink) Started() {
+	_ = s.send(&peerpb.CompleteEvent{Event: &peerpb.CompleteEvent_Started{Started: &peerpb.Started{}}})
 }
 
 // Token passes a token on.
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -148,6 +148,15 @@
 	return vms
 }
 
+// Find returns another VM if its present incarnation is the given one.
+func (t *Table) Find(name, boot string) (VM, bool) {
+	s, ok := t.states[name]
+	if !ok || s.vm.Boot != boot {
+		return VM{}, false
+	}
+	return s.vm, true
+}
+
 // Live returns the VMs that may be given work, by name; this one is among them
 // unless it is leaving.
 func (t *Table) Live(now time.Time) []VM {
--- a/pkg/node/action.go
+++ b/pkg/node/action.go
@@ -47,7 +47,6 @@
 	Stalled  time.Duration
 	Boot     string  // incarnation of the engine
 	Fill     float64 // of the engine's batch, from 0 to 1
-	Queue    int     // requests that the engine has
 }
 
 // Refuse gives a model call up; it was not run.
--- a/pkg/node/claims.go
+++ b/pkg/node/claims.go
@@ -21,8 +21,8 @@
 
 // reference is an engine as a document describes it.
 type reference struct {
-	engine spec.Engine
-	base   string
+	service string
+	engine  spec.Engine
 }
 
 // EngineName returns the name of a service's engine within the system.
@@ -33,7 +33,7 @@
 	clear(n.known)
 	for service, e := range n.documents.Editions() {
 		for _, engine := range e.Document.Engines {
-			n.known[EngineName(service, engine.Name)] = reference{engine: engine, base: e.Document.Base}
+			n.known[EngineName(service, engine.Name)] = reference{service: service, engine: engine}
 		}
 	}
 }
@@ -100,7 +100,7 @@
 		return nil
 	}
 	o.closing = true
-	actions := n.refuseWaiting(o, Handover)
+	actions := n.refuseWaiting(now, o, Handover)
 	if o.sched.Ordered() {
 		return actions
 	}
@@ -146,14 +146,14 @@
 		}
 		if counts {
 			n.dirty = true
-			actions = append(actions, n.claimed(c)...)
+			actions = append(actions, n.claimed(now, c)...)
 		}
 	}
 	return actions
 }
 
 // claimed follows a change of ownership.
-func (n *Node) claimed(c claim.Claim) []Action {
+func (n *Node) claimed(now time.Time, c claim.Claim) []Action {
 	h, _ := n.claims.Of(c.Engine)
 	delete(n.claiming, c.Engine)
 	mine := !h.Free && h.VM == n.config.Self.Name && h.Boot == n.config.Self.Boot
@@ -170,7 +170,7 @@
 		n.own(h)
 		return nil
 	case owned:
-		return n.disown(o)
+		return n.disown(now, o)
 	default:
 		return nil
 	}
--- a/pkg/node/engine.go
+++ b/pkg/node/engine.go
@@ -59,8 +59,8 @@
 }
 
 // disown gives up an engine that another VM owns now. What runs goes on.
-func (n *Node) disown(o *owned) []Action {
-	actions := n.refuseWaiting(o, Handover)
+func (n *Node) disown(now time.Time, o *owned) []Action {
+	actions := n.refuseWaiting(now, o, Handover)
 	delete(n.engines, o.name)
 	delete(n.preferred, o.name)
 	n.returnPermit(o.name)
@@ -69,9 +69,9 @@
 
 // refuseWaiting refuses the requests that wait at an engine, so that they go
 // elsewhere.
-func (n *Node) refuseWaiting(o *owned, reason Reason) []Action {
+func (n *Node) refuseWaiting(now time.Time, o *owned, reason Reason) []Action {
 	flushed, decided := o.sched.Flush()
-	actions := n.translate(o, decided)
+	actions := n.translate(now, o, decided)
 	for _, r := range flushed {
 		delete(n.calls, r.ID)
 		actions = append(actions, Refuse{ID: r.ID, Reason: reason, After: shortRetry})
@@ -92,7 +92,7 @@
 			actions = append(actions, Poll{Engine: name, Address: o.ref.engine.Address})
 		}
 		if n.actable(now, o) == NoLease {
-			actions = append(actions, n.refuseWaiting(o, NoLease)...)
+			actions = append(actions, n.refuseWaiting(now, o, NoLease)...)
 		}
 		actions = append(actions, n.advance(now, o)...)
 	}
@@ -104,7 +104,7 @@
 	if n.actable(now, o) != "" {
 		return nil
 	}
-	return n.translate(o, o.sched.Next(now))
+	return n.translate(now, o, o.sched.Next(now))
 }
 
 // actable returns why an engine cannot be used now, or "".
@@ -137,7 +137,7 @@
 	r := e.Request
 	r.Suspect = r.Suspect || n.suspects.Suspect(now, e.Print)
 	n.calls[r.ID] = call{engine: e.Engine, print: e.Print, suspect: r.Suspect, deadline: r.Deadline}
-	actions := n.translate(o, o.sched.Add(now, r))
+	actions := n.translate(now, o, o.sched.Add(now, r))
 	return append(actions, n.advance(now, o)...)
 }
 
@@ -201,17 +201,17 @@
 			actions = append(actions, Append{Stream: crash.Stream, Data: data})
 		}
 	}
-	return append(actions, n.down(Down{Engine: o.name})...)
+	return append(actions, n.down(now, Down{Engine: o.name})...)
 }
 
 // down takes that an engine does not answer: what waits for it goes elsewhere.
-func (n *Node) down(e Down) []Action {
+func (n *Node) down(now time.Time, e Down) []Action {
 	o, ok := n.engines[e.Engine]
 	if !ok || o.down {
 		return nil
 	}
 	o.down = true
-	return n.refuseWaiting(o, EngineDown)
+	return n.refuseWaiting(now, o, EngineDown)
 }
 
 // reported takes an engine's load report.
@@ -276,7 +276,7 @@
 }
 
 // translate turns the actions of an engine's scheduler into those of the VM.
-func (n *Node) translate(o *owned, decided []slots.Action) []Action {
+func (n *Node) translate(now time.Time, o *owned, decided []slots.Action) []Action {
 	var actions []Action
 	address := o.ref.engine.Address
 	for _, d := range decided {
@@ -290,6 +290,7 @@
 			actions = append(actions, Load{Engine: o.name, Address: address, Instance: d.Instance, Fence: o.holding.Fence})
 		case slots.Unload:
 			actions = append(actions, Unload{Engine: o.name, Address: address, Instance: d.Instance, Fence: o.holding.Fence})
+			actions = append(actions, n.evicted(now, o, d.Instance)...)
 		case slots.Want:
 			n.wishFor(o.name, d.Weight)
 		case slots.Drop:
@@ -311,6 +312,5 @@
 		Stalled:  s.Stalled,
 		Boot:     o.boot,
 		Fill:     float64(o.sched.Running()) / float64(o.ref.engine.Batch),
-		Queue:    o.sched.Running() + o.sched.Waiting(),
 	}
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/tanagerlb/tanagerlb/pkg/keys"
 	"github.com/tanagerlb/tanagerlb/pkg/member"
 	"github.com/tanagerlb/tanagerlb/pkg/permit"
+	"github.com/tanagerlb/tanagerlb/pkg/place"
 	"github.com/tanagerlb/tanagerlb/pkg/slots"
 )
 
@@ -53,7 +54,11 @@
 	Settle   time.Duration // before an engine is handed to its preferred owner
 	Starve   time.Duration // wait after which an adapter is loaded first
 	Backoff  time.Duration // after the first failed load
-	Demand   demand.Config // estimates of demand
+	Demand   demand.Config // estimates by which adapters stay loaded
+	Quick    demand.Config // estimates by which they are spread over engines
+	Fill     float64       // share of a batch that one adapter may fill before it is spread
+	Fresh    time.Duration // for which an engine's queue is believed
+	Bids     int           // engines asked for bids on an adapter
 	Suspect  time.Duration // that a suspicion lasts
 	Retain   time.Duration // that the log keeps records
 	Queue    int           // requests waiting at an engine
@@ -74,6 +79,10 @@
 		Starve:   1 * time.Second,
 		Backoff:  500 * time.Millisecond,
 		Demand:   demand.Config{Half: 10 * time.Minute, Young: 10 * time.Minute},
+		Quick:    demand.Config{Half: 30 * time.Second, Young: 10 * time.Second},
+		Fill:     0.6,
+		Fresh:    200 * time.Millisecond,
+		Bids:     12,
 		Suspect:  10 * time.Minute,
 		Retain:   time.Hour,
 		Queue:    512,
@@ -101,6 +110,8 @@
 	logPeers   map[string]peerLog
 	versions   map[string]map[string]int64 // document versions that peers have
 	failed     map[string]bool             // streams whose last read failed
+	homes      map[string]*place.Home      // directories, by service
+	placing    map[placeKey][]string       // calls that wait for bids
 	wishes     map[permit.ID]*wish
 	returns    []permit.ID // permits to give back
 	granter    *permit.Granter
@@ -159,6 +170,8 @@
 		logPeers:  map[string]peerLog{},
 		versions:  map[string]map[string]int64{},
 		failed:    map[string]bool{},
+		homes:     map[string]*place.Home{},
+		placing:   map[placeKey][]string{},
 		wishes:    map[permit.ID]*wish{},
 		probed:    map[string]time.Time{},
 		preferred: map[string]time.Time{},
@@ -234,7 +247,14 @@
 	case Reported:
 		return n.reported(now, e)
 	case Down:
-		return n.down(e)
+		return n.down(now, e)
+	case PlaceAsked:
+		return n.placeAsked(now, e)
+	case BidsTaken:
+		return n.bidsTaken(now, e)
+	case Evicted:
+		n.home(e.Service).Evicted(e.Adapter, e.Engine)
+		return nil
 	default:
 		return nil
 	}
--- a/pkg/node/permits.go
+++ b/pkg/node/permits.go
@@ -58,19 +58,7 @@
 
 // granterVM returns the VM that grants permits.
 func (n *Node) granterVM() (member.VM, bool) {
-	h, ok := n.claims.Of(StoreName)
-	if !ok || h.Free {
-		return member.VM{}, false
-	}
-	if h.VM == n.config.Self.Name {
-		return n.config.Self, h.Boot == n.config.Self.Boot
-	}
-	for _, vm := range n.members.Known() {
-		if vm.Name == h.VM && vm.Boot == h.Boot {
-			return vm, true
-		}
-	}
-	return member.VM{}, false
+	return n.ownerOf(StoreName)
 }
 
 // grant sends wishes to the granter and, if this VM is the granter, grants
--- a/pkg/place/home.go
+++ b/pkg/place/home.go
@@ -105,6 +105,15 @@
 	return h.pick(now, p)
 }
 
+// Again places a further request for an adapter whose bids were taken.
+func (h *Home) Again(now time.Time, a spec.Adapter) Placement {
+	p := h.placing(a)
+	if len(p.engines) == 0 {
+		return Placement{}
+	}
+	return h.pick(now, p)
+}
+
 // Evicted takes that an engine holds an adapter no more.
 func (h *Home) Evicted(a spec.Adapter, engine string) {
 	if p, ok := h.places[a]; ok {
