fix(node): move engines away from VMs that are cut off

Tests with real processes failed first: - TestOwnerCutFromLog: engines were never taken over, as the owner still answered its peers. Now an owner that lost an engine yields it, in the log or to its peers, and a VM that is neither listed nor heard for 5 s is held to have ended. - TestSilentConnections: a load order on a silent connection hung for 30 s; it is bounded by 10 times the expected load now.

--- /dev/null
+++ b/e2e/owner_test.go
@@ -0,0 +1,258 @@
+package e2e
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tanagerlb/tanagerlb/internal/stand"
+	"github.com/tanagerlb/tanagerlb/internal/testlib"
+)
+
+var adapters = []string{"school-1@v1", "school-2@v1", "parish-1@v3", "clinic-1@v2", "clinic-2@v2", "choir-1@v9"}
+
+// kinds are the two kinds of engines: those that refuse old fencing numbers
+// and those that ignore them.
+var kinds = map[string]bool{"fencing": true, "ignoring": false}
+
+// ownedBy returns the VM that owns the fewest engines, but at least one.
+func ownedBy(f *testlib.Fleet) *testlib.VM {
+	counts := map[string]int{}
+	for _, vm := range f.AwaitOwned() {
+		counts[vm]++
+	}
+	least := ""
+	for vm, count := range counts {
+		if least == "" || count < counts[least] || (count == counts[least] && vm < least) {
+			least = vm
+		}
+	}
+	return f.Find(least)
+}
+
+// awaitTaken waits until no engine is owned by a VM, as the others see it.
+func awaitTaken(f *testlib.Fleet, from *testlib.VM) {
+	f.T.Helper()
+	for _, vm := range f.VMs {
+		if vm == from {
+			continue
+		}
+		testlib.Await(f.T, "engines are taken over", func() bool {
+			owners := vm.Owners()
+			for _, owner := range owners {
+				if owner == from.Name {
+					return false
+				}
+			}
+			return len(owners) == len(f.Engines)
+		})
+	}
+}
+
+// An owner that is killed loses no call, and its engines find new owners.
+func TestOwnerKilled(t *testing.T) {
+	for name, fences := range kinds {
+		t.Run(name, func(t *testing.T) {
+			f := testlib.NewFleet(t, testlib.FleetConfig{Fences: fences, Slots: 4})
+			f.MustPublish(f.ModelDocument(adapters...))
+			owner := ownedBy(f)
+			l := startLoad(f, 6, 10, adapters...)
+			l.awaitDone(50)
+			owner.Kill()
+			f.ListAll(owner.Name)
+			awaitTaken(f, owner)
+			l.awaitDone(100)
+			l.finish(t)
+		})
+	}
+}
+
+// An owner that is frozen past its lease and thawed evicts nothing under a
+// running request and gives up its engines.
+func TestOwnerFrozen(t *testing.T) {
+	for name, fences := range kinds {
+		t.Run(name, func(t *testing.T) {
+			f := testlib.NewFleet(t, testlib.FleetConfig{Fences: fences, Slots: 4, Engines: 6})
+			f.MustPublish(f.ModelDocument(adapters...))
+			owner := ownedBy(f)
+			l := startLoad(f, 6, 10, adapters...)
+			l.awaitDone(50)
+			for range 2 {
+				owner.Signal(syscall.SIGSTOP)
+				awaitTaken(f, owner)
+				l.awaitDone(20)
+				owner.Signal(syscall.SIGCONT)
+				l.awaitDone(50)
+				testlib.Await(t, "thawed VM is heard again", func() bool {
+					for _, vm := range f.VMs {
+						if len(vm.Status().Vms) != len(f.VMs) {
+							return false
+						}
+					}
+					return true
+				})
+			}
+			l.finish(t)
+		})
+	}
+}
+
+// A VM that is cut off from the log alone gives up its engines to VMs that can
+// read it.
+func TestOwnerCutFromLog(t *testing.T) {
+	f := testlib.NewFleet(t, testlib.FleetConfig{Slots: 4})
+	f.MustPublish(f.ModelDocument(adapters...))
+	owner := ownedBy(f)
+	l := startLoad(f, 6, 10, adapters...)
+	l.awaitDone(50)
+	owner.LogProxy.Set(testlib.Hole)
+	awaitTaken(f, owner)
+	l.awaitDone(100)
+	owner.LogProxy.Set(testlib.Refuse)
+	l.awaitDone(50)
+	owner.LogProxy.Set(testlib.Pass)
+	l.awaitDone(50)
+	l.finish(t)
+}
+
+// A VM that its peers cannot reach gives up its engines.
+func TestOwnerCutFromPeers(t *testing.T) {
+	f := testlib.NewFleet(t, testlib.FleetConfig{Slots: 4})
+	f.MustPublish(f.ModelDocument(adapters...))
+	owner := ownedBy(f)
+	l := startLoad(f, 6, 10, adapters...)
+	l.awaitDone(50)
+	owner.PeerProxy.Set(testlib.Hole)
+	awaitTaken(f, owner)
+	l.awaitDone(100)
+	owner.PeerProxy.Set(testlib.Refuse)
+	l.awaitDone(50)
+	l.finish(t)
+}
+
+// A VM that is cut off from the log and from its peers takes no part, and
+// comes back.
+func TestOwnerCutFromBoth(t *testing.T) {
+	f := testlib.NewFleet(t, testlib.FleetConfig{Slots: 4, Engines: 6})
+	f.MustPublish(f.ModelDocument(adapters...))
+	owner := ownedBy(f)
+	l := startLoad(f, 6, 10, adapters...)
+	l.awaitDone(50)
+	owner.LogProxy.Set(testlib.Refuse)
+	owner.PeerProxy.Set(testlib.Refuse)
+	awaitTaken(f, owner)
+	l.awaitDone(100)
+	owner.LogProxy.Set(testlib.Pass)
+	owner.PeerProxy.Set(testlib.Pass)
+	f.AwaitLive(len(f.VMs))
+	l.awaitDone(50)
+	l.finish(t)
+}
+
+// Owners keep serving while the log is down for all.
+func TestOwnersWithoutLog(t *testing.T) {
+	is := is.New(t)
+	f := testlib.NewFleet(t, testlib.FleetConfig{Slots: 4})
+	f.MustPublish(f.ModelDocument(adapters...))
+	f.AwaitOwned()
+	l := startLoad(f, 6, 10, adapters...)
+	l.awaitDone(50)
+	for _, vm := range f.VMs {
+		vm.LogProxy.Set(testlib.Hole)
+	}
+	time.Sleep(6 * time.Second) // longer than any lease and drift
+	before := l.Done()
+	l.awaitDone(100)
+	for _, vm := range f.VMs {
+		is.Equal(vm.Status().Log, "down")
+		vm.LogProxy.Set(testlib.Pass)
+	}
+	l.awaitDone(50)
+	l.finish(t)
+	is.True(before > 0)
+}
+
+// An engine that restarts empty under load loses no call.
+func TestEngineRestarts(t *testing.T) {
+	f := testlib.NewFleet(t, testlib.FleetConfig{Slots: 4})
+	f.MustPublish(f.ModelDocument(adapters...))
+	f.AwaitOwned()
+	l := startLoad(f, 6, 20, adapters...)
+	for i := range 6 {
+		l.awaitDone(30)
+		f.Engines[i%len(f.Engines)].SetFaults(stand.EngineFaults{Restart: true, Crash: 100 * (i % 3)})
+	}
+	l.awaitDone(50)
+	l.finish(t)
+}
+
+// Loads that fail, and orders whose answers are lost after they took effect,
+// lose no call.
+func TestLoadsFail(t *testing.T) {
+	f := testlib.NewFleet(t, testlib.FleetConfig{Slots: 2})
+	f.MustPublish(f.ModelDocument(adapters...))
+	f.AwaitOwned()
+	for _, e := range f.Engines {
+		e.SetFaults(stand.EngineFaults{FailLoads: 5, Lag: 700, Faults: stand.Faults{Lose: 10}})
+	}
+	l := startLoad(f, 6, 10, adapters...)
+	l.awaitDone(100)
+	l.finish(t)
+}
+
+// A connection that goes silent is given up, and a fresh one is used.
+func TestSilentConnections(t *testing.T) {
+	f := testlib.NewFleet(t, testlib.FleetConfig{Slots: 4})
+	f.MustPublish(f.ModelDocument(adapters...))
+	f.AwaitOwned()
+	l := startLoad(f, 6, 10, adapters...)
+	l.awaitDone(50)
+	for range 2 {
+		for _, vm := range f.VMs {
+			vm.PeerProxy.Set(testlib.Stale)
+			vm.LogProxy.Set(testlib.Stale)
+		}
+		for _, p := range f.EngineProxies {
+			p.Set(testlib.Stale)
+		}
+		l.awaitDone(100)
+	}
+	f.AwaitLive(len(f.VMs))
+	l.finish(t)
+}
+
+// A request that crashes each engine that runs it is refused for good after
+// its second crash, also under other conditions, and others are served.
+func TestPoison(t *testing.T) {
+	is := is.New(t)
+	f := testlib.NewFleet(t, testlib.FleetConfig{Slots: 4, Engines: 3})
+	f.MustPublish(f.ModelDocument(adapters...))
+	f.AwaitOwned()
+	for _, e := range f.Engines {
+		e.SetFaults(stand.EngineFaults{Poison: "arsenic", Crash: 200})
+	}
+	l := startLoad(f, 6, 10, adapters...)
+	l.awaitDone(50)
+	crashes := func() int {
+		sum := 0
+		for _, e := range f.Engines {
+			sum += e.Counts().Crashes
+		}
+		return sum
+	}
+	for i := range 12 {
+		a := testlib.Complete(f.VMs[i%len(f.VMs)].Caller, "school-1", "arsenic", 10)
+		is.True(!a.Done())
+		if i > 2 {
+			is.Equal(a.Reason, "condemned")
+		}
+	}
+	is.True(crashes() <= 2)
+	l.awaitDone(50)
+	l.finish(t)
+	for reason := range l.refused {
+		is.True(reason != "unknown condemned" && reason != "not-run condemned") // no other request is condemned
+	}
+}
--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -13,6 +13,7 @@
 	"github.com/tanagerlb/tanagerlb/internal/infer"
 	"github.com/tanagerlb/tanagerlb/internal/logs"
 	"github.com/tanagerlb/tanagerlb/internal/metric"
+	"github.com/tanagerlb/tanagerlb/pkg/claim"
 	"github.com/tanagerlb/tanagerlb/pkg/keys"
 	"github.com/tanagerlb/tanagerlb/pkg/member"
 	"github.com/tanagerlb/tanagerlb/pkg/node"
@@ -49,6 +50,7 @@
 	Leaving  bool
 	Versions map[string]int64
 	Log      bool
+	Yields   []claim.Yield
 }
 
 // Config sets up a Loop.
--- a/internal/ctrl/do.go
+++ b/internal/ctrl/do.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strings"
 	"sync"
@@ -101,7 +102,7 @@
 // self is called on the control thread.
 func (l *Loop) self() Self {
 	v := l.view.Load()
-	s := Self{VM: v.Self, Leaving: v.Leaving, Log: v.Log, Versions: map[string]int64{}}
+	s := Self{VM: v.Self, Leaving: v.Leaving, Log: v.Log, Yields: v.Yields, Versions: map[string]int64{}}
 	for service, e := range v.Editions {
 		s.Versions[service] = e.Version
 	}
@@ -190,7 +191,11 @@
 	for range 2 {
 		report, err := j.loop.config.Engines.Report(ctx, j.action.Address)
 		if err == nil {
-			j.loop.Post(node.Reported{Engine: j.action.Engine, Boot: report.Boot, Instances: report.Instances})
+			reported := node.Reported{Engine: j.action.Engine, Boot: report.Boot}
+			for _, r := range report.Instances {
+				reported.Instances = append(reported.Instances, node.Resident(r))
+			}
+			j.loop.Post(reported)
 			return
 		}
 		j.loop.config.Engines.Fresh()
@@ -210,7 +215,7 @@
 func (j *orderJob) run(ctx context.Context) {
 	var err error
 	for range orderTries {
-		if err = j.give(ctx); err == nil || !infer.Doubtful(err) {
+		if err = j.give(ctx); err == nil || !infer.Doubtful(err) || errors.Is(err, context.DeadlineExceeded) {
 			break
 		}
 		j.loop.config.Engines.Fresh()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -36,20 +36,28 @@
 )
 
 const (
-	headerTimeout = 5 * time.Second  // for a request's headers
-	idleTimeout   = time.Minute      // of a caller's connection
-	maxHeader     = 16 << 10         // bytes of a request's headers
-	orderTimeout  = time.Second      // of engine reports and unloads
-	loadTimeout   = 30 * time.Second // of a load
-	dialTimeout   = time.Second      // for connecting to a plain service
-	retryPause    = 20 * time.Millisecond
-	retryLongest  = 400 * time.Millisecond
-	retryBurst    = 20          // retries saved up
-	retryNames    = 10_000      // callers and services whose budgets are kept
-	lingerMore    = time.Second // beyond the lifetime of address answers
-	settlePause   = 100 * time.Millisecond
+	headerTimeout = 5 * time.Second // for a request's headers
+	idleTimeout   = time.Minute     // of a caller's connection
+	maxHeader     = 16 << 10        // bytes of a request's headers
+	orderTimeout  = time.Second     // of engine reports and unloads
+
+	minLoadTimeout = 2 * time.Second
+	loadSlack      = 10              // times the expected time of a load, that one may take
+	permitMargin   = 2 * time.Second // by which a permit outlasts the bound of a load
+	dialTimeout    = time.Second     // for connecting to a plain service
+	retryPause     = 20 * time.Millisecond
+	retryLongest   = 400 * time.Millisecond
+	retryBurst     = 20          // retries saved up
+	retryNames     = 10_000      // callers and services whose budgets are kept
+	lingerMore     = time.Second // beyond the lifetime of address answers
+	settlePause    = 100 * time.Millisecond
 )
 
+// loadTimeout bounds a load by its expected time.
+func loadTimeout(expected time.Duration) time.Duration {
+	return max(minLoadTimeout, loadSlack*expected)
+}
+
 // Daemon is a running VM.
 type Daemon struct {
 	settings config.Settings
@@ -94,7 +102,7 @@
 	s := d.settings
 	metrics := metric.New()
 	d.pool = peer.NewPool(peer.PoolConfig{Silence: s.Limits.Silence})
-	engines := infer.NewClient(infer.Config{Silence: s.Limits.Silence, Load: loadTimeout, Order: orderTimeout})
+	engines := infer.NewClient(infer.Config{Silence: s.Limits.Silence, Load: loadTimeout(s.Store.Load), Order: orderTimeout})
 	services := plain.NewClient(plain.Config{Dial: dialTimeout})
 	self := member.VM{Name: s.VM, Boot: boot, Zone: s.Zone, Caller: s.Caller, Peer: s.Peer}
 	d.control = ctrl.New(ctrl.Config{
@@ -177,6 +185,7 @@
 	timing := node.Defaults()
 	timing.Retain = s.Log.Retain
 	timing.Queue = s.Limits.Queue
+	timing.PermitOK = loadTimeout(s.Store.Load) + permitMargin
 	return node.Config{
 		Self:    self,
 		Bases:   s.Bases,
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -100,7 +99,7 @@
 		s.VM = "vm-" + strconv.Itoa(i+1)
 		s.Zone = "zone-" + string(rune('a'+i))
 		for _, address := range []*netip.AddrPort{&s.Caller, &s.Operator, &s.Peer} {
-			free, err := freeAddress()
+			free, err := stand.FreeAddress()
 			if err != nil {
 				return err
 			}
@@ -125,16 +124,6 @@
 	return nil
 }
 
-// freeAddress returns a loopback address that is free now.
-func freeAddress() (netip.AddrPort, error) {
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", local.String())
-	if err != nil {
-		return netip.AddrPort{}, fmt.Errorf("find a free port: %w", err)
-	}
-	defer func() { _ = l.Close() }()
-	return netip.MustParseAddrPort(l.Addr().String()), nil
-}
-
 func (f *fleet) close() {
 	for _, d := range f.daemons {
 		d.Close()
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -13,6 +13,7 @@
 	"github.com/tanagerlb/tanagerlb/pkg/crash"
 	"github.com/tanagerlb/tanagerlb/pkg/docs"
 	"github.com/tanagerlb/tanagerlb/pkg/keys"
+	"github.com/tanagerlb/tanagerlb/pkg/member"
 	"github.com/tanagerlb/tanagerlb/pkg/node"
 	"github.com/tanagerlb/tanagerlb/pkg/retry"
 	"github.com/tanagerlb/tanagerlb/pkg/slots"
@@ -177,13 +178,12 @@
 func (m *modelRun) attempt(ctx context.Context) owner.Result {
 	now := time.Now()
 	view := m.entry.config.View()
-	m.place(ctx, now, view)
+	charge, ok := m.place(ctx, now, view)
 	if m.engine == "" {
 		clear(m.tried)
 		return owner.Result{Reason: NoEngine}
 	}
-	charge, ok := view.Owners[m.engine]
-	if !ok || !charge.Known {
+	if !ok {
 		return owner.Result{Reason: node.NotOwner}
 	}
 	m.begin()
@@ -204,20 +204,21 @@
 	m.request.Offset = m.got
 }
 
-func (m *modelRun) send(ctx context.Context, view *node.View, charge node.Owner) owner.Result {
-	if charge.VM.Name == view.Self.Name {
+func (m *modelRun) send(ctx context.Context, view *node.View, charge member.VM) owner.Result {
+	if charge.Name == view.Self.Name {
 		return m.entry.config.Owner.Complete(ctx, m.request, m)
 	}
-	return m.entry.config.Peers.Complete(ctx, charge.VM, m.request, m)
+	return m.entry.config.Peers.Complete(ctx, charge, m.request, m)
 }
 
-// place finds the engine of the next attempt: it asks the directory of the
-// adapter, and goes by rendezvous order if that does not answer.
-func (m *modelRun) place(ctx context.Context, now time.Time, view *node.View) {
+// place finds the engine of the next attempt and its owner: it asks the
+// directory of the adapter, and goes by rendezvous order if that does not
+// answer.
+func (m *modelRun) place(ctx context.Context, now time.Time, view *node.View) (member.VM, bool) {
 	placed, err := m.ask(ctx, view)
 	if err == nil {
 		m.engine, m.request.Demand = placed.Engine, placed.Demand
-		return
+		return placed.Owner, true
 	}
 	m.entry.config.Metrics.Failed("directory")
 	m.request.Demand = 0
@@ -225,6 +226,8 @@
 	m.entry.mu.Lock()
 	defer m.entry.mu.Unlock()
 	m.engine = m.entry.hints.Pick(now, m.request.Adapter.String(), engines, m.tried)
+	charge := view.Owners[m.engine]
+	return charge.VM, charge.Known
 }
 
 // placeTimeout bounds the wait for a directory.
--- a/internal/infer/infer.go
+++ b/internal/infer/infer.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -71,7 +72,13 @@
 // Report is an engine's load report.
 type Report struct {
 	Boot      string // incarnation
-	Instances []string
+	Instances []Resident
+}
+
+// Resident is an adapter that an engine holds.
+type Resident struct {
+	Name    string
+	Running int // requests
 }
 
 // Config sets up a Client.
@@ -249,10 +256,9 @@
 		return Report{}, fmt.Errorf("read report: %w", err)
 	}
 	report := Report{Boot: w.Boot}
-	for name := range w.Adapters {
-		report.Instances = append(report.Instances, name)
+	for _, name := range slices.Sorted(maps.Keys(w.Adapters)) {
+		report.Instances = append(report.Instances, Resident{Name: name, Running: w.Adapters[name]})
 	}
-	slices.Sort(report.Instances)
 	return report, nil
 }
 
--- a/internal/logs/append.go
+++ b/internal/logs/append.go
@@ -69,6 +69,7 @@
 			return
 		}
 		if _, err := c.owner.config.Client.Append(ctx, c.stream, records); err != nil {
+			c.owner.config.Client.Fresh()
 			c.owner.config.Sink.LogFailed(c.stream, err)
 		}
 		pause(ctx, c.owner.config.Every)
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -5,8 +5,10 @@
 	"net/netip"
 	"time"
 
+	"github.com/tanagerlb/tanagerlb/internal/ctrl"
 	"github.com/tanagerlb/tanagerlb/internal/owner"
 	"github.com/tanagerlb/tanagerlb/internal/peer/peerpb"
+	"github.com/tanagerlb/tanagerlb/pkg/claim"
 	"github.com/tanagerlb/tanagerlb/pkg/crash"
 	"github.com/tanagerlb/tanagerlb/pkg/member"
 	"github.com/tanagerlb/tanagerlb/pkg/node"
@@ -37,12 +39,25 @@
 	return member.VM{Name: w.GetName(), Boot: w.GetBoot(), Zone: w.GetZone(), Caller: caller, Peer: peer}, nil
 }
 
-func decodeHeard(from *peerpb.VM, versions map[string]int64, log bool) (node.Heard, error) {
-	vm, err := decodeVM(from)
+func encodeSign(self ctrl.Self) *peerpb.Sign {
+	sign := &peerpb.Sign{From: encodeVM(self.VM, self.Leaving), Versions: self.Versions, Log: self.Log}
+	for _, y := range self.Yields {
+		sign.Yields = append(sign.Yields, &peerpb.Yield{Engine: y.Engine, UntilMs: y.Until.Milliseconds()})
+	}
+	return sign
+}
+
+func decodeSign(w *peerpb.Sign) (node.Heard, error) {
+	vm, err := decodeVM(w.GetFrom())
 	if err != nil {
 		return node.Heard{}, err
 	}
-	return node.Heard{VM: vm, Leaving: from.GetLeaving(), Versions: versions, Log: log}, nil
+	heard := node.Heard{VM: vm, Leaving: w.GetFrom().GetLeaving(), Versions: w.GetVersions(), Log: w.GetLog()}
+	for _, y := range w.GetYields() {
+		until := time.Duration(y.GetUntilMs()) * time.Millisecond
+		heard.Yields = append(heard.Yields, claim.Yield{Engine: y.GetEngine(), Boot: vm.Boot, Until: until})
+	}
+	return heard, nil
 }
 
 func encodeRequest(now time.Time, r owner.Request) *peerpb.CompleteRequest {
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -99,7 +99,7 @@
 // Probe asks a VM for a sign of life. If fresh is set it does so on a new
 // connection, which replaces the old one if the VM answers.
 func (p *Pool) Probe(ctx context.Context, vm member.VM, self ctrl.Self, fresh bool) (node.Heard, error) {
-	request := &peerpb.ProbeRequest{From: encodeVM(self.VM, self.Leaving), Versions: self.Versions, Log: self.Log}
+	request := encodeSign(self)
 	if !fresh {
 		client, err := p.client(vm.Peer)
 		if err != nil {
@@ -120,12 +120,12 @@
 	return heard, nil
 }
 
-func probe(ctx context.Context, client peerpb.PeerClient, request *peerpb.ProbeRequest) (node.Heard, error) {
+func probe(ctx context.Context, client peerpb.PeerClient, request *peerpb.Sign) (node.Heard, error) {
 	reply, err := client.Probe(ctx, request)
 	if err != nil {
 		return node.Heard{}, fmt.Errorf("probe peer: %w", err)
 	}
-	return decodeHeard(reply.GetFrom(), reply.GetVersions(), reply.GetLog())
+	return decodeSign(reply)
 }
 
 // Borrow asks a VM for the document records that are newer than have.
@@ -190,7 +190,11 @@
 	if err != nil {
 		return node.Placed{}, fmt.Errorf("ask %s for a place: %w", vm.Name, err)
 	}
-	return node.Placed{ID: ask.ID, Engine: reply.GetEngine(), Demand: reply.GetDemand()}, nil
+	if reply.GetEngine() == "" {
+		return node.Placed{ID: ask.ID}, nil
+	}
+	owner, err := decodeVM(reply.GetOwner())
+	return node.Placed{ID: ask.ID, Engine: reply.GetEngine(), Demand: reply.GetDemand(), Owner: owner}, err
 }
 
 // Bids asks the owner of engines for bids on an adapter.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -78,14 +78,13 @@
 func (s *Server) Close() { s.grpc.Stop() }
 
 // Probe answers a sign of life with one of this VM.
-func (s *Server) Probe(_ context.Context, r *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
-	heard, err := decodeHeard(r.GetFrom(), r.GetVersions(), r.GetLog())
+func (s *Server) Probe(_ context.Context, r *peerpb.Sign) (*peerpb.Sign, error) {
+	heard, err := decodeSign(r)
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
 	s.config.Control.Post(heard)
-	self := s.config.Control.Self()
-	return &peerpb.ProbeReply{From: encodeVM(self.VM, self.Leaving), Versions: self.Versions, Log: self.Log}, nil
+	return encodeSign(s.config.Control.Self()), nil
 }
 
 // Lend answers with the documents that the peer does not have.
@@ -135,7 +134,10 @@
 	if err != nil {
 		return nil, status.FromContextError(err).Err()
 	}
-	return &peerpb.PlaceReply{Engine: placed.Engine, Demand: placed.Demand}, nil
+	if placed.Engine == "" {
+		return &peerpb.PlaceReply{}, nil
+	}
+	return &peerpb.PlaceReply{Engine: placed.Engine, Demand: placed.Demand, Owner: encodeVM(placed.Owner, false)}, nil
 }
 
 // Bid answers with the bids of this VM's engines.
--- a/internal/testlib/client.go
+++ b/internal/testlib/client.go
@@ -37,19 +37,26 @@
 // Done tells whether the call was answered whole.
 func (a Answer) Done() bool { return a.Err == nil && a.Outcome == "done" }
 
+// callerPatience is how long a caller waits for an answer. It is longer than
+// any deadline in the documents of a Fleet.
+const callerPatience = 10 * time.Second
+
 // caller opens a connection for each call, as callers that keep nothing do.
-var caller = &http.Client{
-	Transport: &http.Transport{DisableKeepAlives: true},
-	Timeout:   40 * time.Second,
-}
+var caller = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
 // Post sends a call to a VM.
 func Post(address netip.AddrPort, path string, headers map[string]string, body any) Answer {
+	ctx, cancel := context.WithTimeout(context.Background(), callerPatience)
+	defer cancel()
+	return post(ctx, address, path, headers, body)
+}
+
+func post(ctx context.Context, address netip.AddrPort, path string, headers map[string]string, body any) Answer {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return Answer{Err: err}
 	}
-	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost,
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost,
 		"http://"+address.String()+path, bytes.NewReader(data))
 	if err != nil {
 		return Answer{Err: err}
@@ -78,8 +85,15 @@
 
 // Complete sends a model call to a VM.
 func Complete(address netip.AddrPort, adapter, prompt string, tokens int) Answer {
+	return CompleteWithin(callerPatience, address, adapter, prompt, tokens)
+}
+
+// CompleteWithin sends a model call to a VM and waits no longer than patience.
+func CompleteWithin(patience time.Duration, address netip.AddrPort, adapter, prompt string, tokens int) Answer {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
 	body := map[string]any{"adapter": adapter, "prompt": prompt, "tokens": tokens, "call": "summary"}
-	return Post(address, "/v1/services/lm-assist/complete", nil, body)
+	return post(ctx, address, "/v1/services/lm-assist/complete", nil, body)
 }
 
 // Send sends a call that may not be repeated to a VM.
@@ -169,6 +183,13 @@
 		if vm.isEnded() {
 			continue
 		}
+		defer func() {
+			if f.T.Failed() {
+				for _, s := range vm.Status().Vms {
+					f.T.Logf("%s sees %+v", vm.Name, *s)
+				}
+			}
+		}()
 		Await(f.T, vm.Name+" sees the live VMs", func() bool { return vm.live() == count })
 	}
 }
--- a/internal/testlib/fleet.go
+++ b/internal/testlib/fleet.go
@@ -1,9 +1,7 @@
 package testlib
 
 import (
-	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -192,12 +190,11 @@
 // FreeAddress returns a loopback address that is free now.
 func FreeAddress(t testing.TB) netip.AddrPort {
 	t.Helper()
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	address, err := stand.FreeAddress()
 	if err != nil {
 		t.Fatalf("find a free port: %v", err)
 	}
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
+	return address
 }
 
 func (f *Fleet) newVM(i int) *VM {
@@ -352,8 +349,8 @@
 func (f *Fleet) ModelDocument(adapters ...string) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "service: lm-assist\nkind: model\nbase: %s\n", Base)
-	b.WriteString("calls:\n  - name: reply\n    urgency: urgent\n    deadline: 20s\n")
-	b.WriteString("  - name: summary\n    urgency: patient\n    deadline: 25s\nengines:\n")
+	b.WriteString("calls:\n  - name: reply\n    urgency: urgent\n    deadline: 5s\n")
+	b.WriteString("  - name: summary\n    urgency: patient\n    deadline: 8s\nengines:\n")
 	for i, p := range f.EngineProxies {
 		fmt.Fprintf(&b, "  - name: e%d\n    address: %s\n    slots: %d\n    batch: %d\n    fences: %t\n",
 			i+1, p.Address(), f.Config.Slots, f.Config.Batch, f.Config.Fences)
--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -35,6 +35,18 @@
 	Fence int64 `json:"fence,omitempty"` // set when a claim in force is stated again
 }
 
+// YieldKind is the kind of a record by which an owner that lost an engine says
+// that it no longer acts on it.
+const YieldKind = "yield"
+
+// Yield tells that an incarnation gives no more orders to an engine and starts
+// nothing more on it, for good under its fence.
+type Yield struct {
+	Engine string        `json:"engine"`
+	Boot   string        `json:"boot"`
+	Until  time.Duration `json:"until,omitempty"` // bound on the time that its last request runs on
+}
+
 // Holding is a claim in force.
 type Holding struct {
 	Claim
@@ -102,6 +114,19 @@
 	return h, ok
 }
 
+// ApplyYield takes a yield that was learned at now, from the stream or from the
+// VM itself. It makes the claim that followed a clean one.
+func (t *Table) ApplyYield(now time.Time, y Yield) bool {
+	h, ok := t.holdings[y.Engine]
+	if !ok || h.Clean || h.Before != y.Boot {
+		return false
+	}
+	h.Clean = true
+	h.Drain = now.Add(y.Until)
+	t.holdings[y.Engine] = h
+	return true
+}
+
 // Names returns the names of all engines that were ever claimed.
 func (t *Table) Names() []string {
 	return slices.Sorted(maps.Keys(t.holdings))
--- a/pkg/node/claims.go
+++ b/pkg/node/claims.go
@@ -45,7 +45,7 @@
 		return nil
 	}
 	var actions []Action
-	live := names(n.members.Live(now))
+	live := n.able(now)
 	claimable := append(slices.Sorted(maps.Keys(n.known)), StoreName)
 	for _, name := range claimable {
 		actions = append(actions, n.claimOne(now, name, live)...)
@@ -139,6 +139,15 @@
 func (n *Node) readClaims(now time.Time, records []record.Record) []Action {
 	var actions []Action
 	for _, r := range records {
+		if kind, err := record.Kind(r.Data); err == nil && kind == claim.YieldKind {
+			var y claim.Yield
+			if err := record.Decode(r.Data, claim.YieldKind, &y); err != nil {
+				actions = append(actions, ignored(claim.Stream, err)...)
+				continue
+			}
+			n.yielded(now, y)
+			continue
+		}
 		c, counts, err := n.claims.Apply(now, r)
 		if err != nil {
 			actions = append(actions, ignored(claim.Stream, err)...)
@@ -152,6 +161,47 @@
 	return actions
 }
 
+// yielded takes that the owner before of an engine of this VM acts no more.
+func (n *Node) yielded(now time.Time, y claim.Yield) {
+	if !n.claims.ApplyYield(now, y) {
+		return
+	}
+	if o, ok := n.engines[y.Engine]; ok {
+		o.holding, _ = n.claims.Of(y.Engine)
+	}
+}
+
+// yield says of the engines that this VM lost that it acts on them no more, as
+// soon as no order is in progress.
+func (n *Node) yield(now time.Time) []Action {
+	var actions []Action
+	for _, name := range slices.Sorted(maps.Keys(n.retired)) {
+		o := n.retired[name]
+		if o.sched.Ordered() || o.dirty {
+			continue
+		}
+		delete(n.retired, name)
+		y := claim.Yield{Engine: name, Boot: n.config.Self.Boot, Until: n.longest(now, name)}
+		if data, err := record.Encode(claim.YieldKind, y); err == nil {
+			actions = append(actions, Append{Stream: claim.Stream, Data: data})
+		}
+	}
+	return actions
+}
+
+// Yields returns the engines on which this VM, cut off from the log for long
+// enough, acts no more, for its peers.
+func (n *Node) Yields(now time.Time) []claim.Yield {
+	var yields []claim.Yield
+	for _, name := range slices.Sorted(maps.Keys(n.engines)) {
+		o := n.engines[name]
+		if o.yielded && !o.sched.Ordered() && !o.dirty {
+			yields = append(yields, claim.Yield{Engine: name, Boot: n.config.Self.Boot, Until: n.longest(now, name)})
+		}
+	}
+	return yields
+}
+
 // claimed follows a change of ownership.
 func (n *Node) claimed(now time.Time, c claim.Claim) []Action {
 	h, _ := n.claims.Of(c.Engine)
--- a/pkg/node/engine.go
+++ b/pkg/node/engine.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/tanagerlb/tanagerlb/pkg/claim"
@@ -27,6 +26,8 @@
 	closing  bool      // gives no more orders, to be released
 	released time.Time // when the release was appended
 	dirty    bool      // an order may still take effect
+	unleased time.Time // since when this VM may not act
+	yielded  bool      // given up for good, as told to peers
 	polled   time.Time
 	boot     string // incarnation of the engine
 	crashed  string // incarnation that crashed
@@ -64,6 +65,9 @@
 	delete(n.engines, o.name)
 	delete(n.preferred, o.name)
 	n.returnPermit(o.name)
+	if o.released.IsZero() {
+		n.retired[o.name] = o
+	}
 	return actions
 }
 
@@ -91,14 +95,29 @@
 			o.polled = now
 			actions = append(actions, Poll{Engine: name, Address: o.ref.engine.Address})
 		}
-		if n.actable(now, o) == NoLease {
-			actions = append(actions, n.refuseWaiting(now, o, NoLease)...)
-		}
+		actions = append(actions, n.unlease(now, o)...)
 		actions = append(actions, n.advance(now, o)...)
 	}
 	return actions
 }
 
+// unlease refuses what waits at an engine on which this VM may not act. After
+// another lease's length it gives the engine up.
+func (n *Node) unlease(now time.Time, o *owned) []Action {
+	if n.actable(now, o) != NoLease {
+		o.unleased = time.Time{}
+		return nil
+	}
+	if o.unleased.IsZero() {
+		o.unleased = now
+	}
+	if now.Sub(o.unleased) > n.config.Timing.Lease {
+		o.closing, o.yielded = true, true
+		n.dirty = true
+	}
+	return n.refuseWaiting(now, o, NoLease)
+}
+
 // advance lets an engine's scheduler go on, if this VM may act.
 func (n *Node) advance(now time.Time, o *owned) []Action {
 	if n.actable(now, o) != "" {
@@ -227,8 +246,8 @@
 		clear(o.evicted)
 	}
 	o.boot, o.down, o.seen = e.Boot, false, true
-	for _, name := range e.Instances {
-		n.adopt(now, o, name)
+	for _, r := range e.Instances {
+		n.adopt(now, o, r)
 	}
 	return append(actions, n.advance(now, o)...)
 }
@@ -236,22 +255,26 @@
 // adopt takes over an instance that an owner before loaded. It may be used if
 // that owner released the engine, or if the engine refuses its late orders,
 // and unloaded once nothing of that owner can run on it.
-func (n *Node) adopt(now time.Time, o *owned, name string) {
-	found, err := slots.ParseInstance(name)
+func (n *Node) adopt(now time.Time, o *owned, r Resident) {
+	found, err := slots.ParseInstance(r.Name)
 	if err != nil {
-		found = slots.Instance{Adapter: spec.Adapter{Name: strings.ToValidUTF8(name, "")}}
+		found = slots.Instance{Adapter: spec.Adapter{Name: r.Name}}
 	}
 	if found.Fence == o.holding.Fence || o.evicted[found] {
 		return
 	}
 	clean := o.holding.Clean || n.members.Gone(o.holding.Before)
 	usable := err == nil && (clean || o.ref.engine.Fences)
-	foreign := err != nil || !clean || now.Before(o.holding.Drain)
+	others := r.Running > o.sched.RunningOn(found.Adapter)
+	foreign := err != nil || !clean || now.Before(o.holding.Drain) || others
 	o.sched.Adopt(now, found, usable, foreign)
 }
 
 func (n *Node) loadEnded(now time.Time, e LoadEnded) []Action {
 	n.returnPermit(e.Engine)
+	if o, ok := n.retired[e.Engine]; ok {
+		o.sched.Loaded(now, e.Instance, e.OK)
+	}
 	o, ok := n.engines[e.Engine]
 	if !ok {
 		return nil
@@ -261,6 +284,10 @@
 }
 
 func (n *Node) unloadEnded(now time.Time, e UnloadEnded) []Action {
+	if o, ok := n.retired[e.Engine]; ok {
+		o.sched.Unloaded(e.Instance, e.OK)
+		o.dirty = o.dirty || !e.OK
+	}
 	o, ok := n.engines[e.Engine]
 	if !ok {
 		return nil
--- a/pkg/node/event.go
+++ b/pkg/node/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tanagerlb/tanagerlb/pkg/claim"
 	"github.com/tanagerlb/tanagerlb/pkg/crash"
 	"github.com/tanagerlb/tanagerlb/pkg/keys"
 	"github.com/tanagerlb/tanagerlb/pkg/member"
@@ -26,6 +27,7 @@
 	Leaving  bool
 	Versions map[string]int64
 	Log      bool // the peer can read the log
+	Yields   []claim.Yield
 }
 
 // Silent tells that a peer answered neither on its connection nor on a fresh
@@ -91,7 +93,13 @@
 type Reported struct {
 	Engine    string
 	Boot      string
-	Instances []string // names of the resident instances
+	Instances []Resident
+}
+
+// Resident is an instance that an engine reports.
+type Resident struct {
+	Name    string
+	Running int // requests
 }
 
 // Down tells that an engine answers neither on its connection nor on a fresh
--- a/pkg/node/log.go
+++ b/pkg/node/log.go
@@ -18,7 +18,7 @@
 func (n *Node) follow(now time.Time) []Action {
 	var actions []Action
 	want := map[string]bool{docs.Stream: true, claim.Stream: true, crash.Stream: true}
-	live := names(n.members.Live(now))
+	live := n.able(now)
 	for p := range n.config.Keys.Partitions {
 		stream := keys.Stream(p)
 		if KeeperOf(stream, live) == n.config.Self.Name || n.keys.Waits(p) {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -102,6 +102,7 @@
 	suspects   *crash.Table
 	keys       *keys.Table
 	engines    map[string]*owned    // engines that this VM owns, by name
+	retired    map[string]*owned    // engines that this VM lost and has not yielded yet
 	known      map[string]reference // engines in documents, by name
 	calls      map[string]call      // model calls at this VM, by id
 	followed   map[string]bool
@@ -110,6 +111,7 @@
 	logPeers   map[string]peerLog
 	versions   map[string]map[string]int64 // document versions that peers have
 	failed     map[string]bool             // streams whose last read failed
+	logUp      time.Time                   // since when the claims can be read without failure
 	homes      map[string]*place.Home      // directories, by service
 	placing    map[placeKey][]string       // calls that wait for bids
 	wishes     map[permit.ID]*wish
@@ -121,6 +123,7 @@
 	preferred  map[string]time.Time // since when another VM should own an engine
 	restated   map[string]time.Time
 	view       *View
+	looked     time.Time // when the view was made
 	dirty      bool
 	started    time.Time
 	left       bool
@@ -162,6 +165,7 @@
 			Keep:       c.Keys.Keep,
 		}),
 		engines:   map[string]*owned{},
+		retired:   map[string]*owned{},
 		known:     map[string]reference{},
 		calls:     map[string]call{},
 		followed:  map[string]bool{},
@@ -180,8 +184,9 @@
 	}
 }
 
-// keepMembers is how long an unlisted VM is remembered.
-const keepMembers = time.Minute
+// keepMembers is how long a VM is remembered that is neither listed nor heard.
+// After that its process is held to have ended.
+const keepMembers = 5 * time.Second
 
 // Step takes an event at now and returns what there is to do.
 func (n *Node) Step(now time.Time, e Event) []Action {
@@ -262,10 +267,13 @@
 
 // tick does all that is due with time.
 func (n *Node) tick(now time.Time) []Action {
+	n.watchLog(now)
+	n.refresh(now)
 	actions := n.follow(now)
 	actions = append(actions, n.probe(now)...)
 	actions = append(actions, n.borrow(now)...)
 	actions = append(actions, n.claim(now)...)
+	actions = append(actions, n.yield(now)...)
 	actions = append(actions, n.work(now)...)
 	actions = append(actions, n.keyActions(n.keys.Tick(now))...)
 	actions = append(actions, n.grant(now)...)
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tanagerlb/tanagerlb/pkg/claim"
 	"github.com/tanagerlb/tanagerlb/pkg/docs"
 	"github.com/tanagerlb/tanagerlb/pkg/member"
 	"github.com/tanagerlb/tanagerlb/pkg/rank"
@@ -19,6 +20,11 @@
 	}
 	n.versions[e.VM.Name] = e.Versions
 	n.logPeers[e.VM.Name] = peerLog{up: e.Log, zone: e.VM.Zone, at: now}
+	for _, y := range e.Yields {
+		if y.Boot == e.VM.Boot {
+			n.yielded(now, y)
+		}
+	}
 	for service, version := range e.Versions {
 		if version > n.documents.Version(service) && (!n.readable(docs.Stream) || n.caught[docs.Stream]) {
 			return n.borrowFrom(now, e.VM)
@@ -105,6 +111,40 @@
 	return false
 }
 
+// cutOff tells whether the peer said of late that it cannot read the log.
+func (p peerLog) cutOff(now time.Time, fresh time.Duration) bool {
+	return !p.up && !p.at.IsZero() && now.Sub(p.at) < fresh
+}
+
+// watchLog notes since when the log can be read.
+func (n *Node) watchLog(now time.Time) {
+	switch {
+	case !n.readable(claim.Stream):
+		n.logUp = time.Time{}
+	case n.logUp.IsZero():
+		n.logUp = now
+	}
+}
+
+// able returns the VMs that may own engines, keep keys or be directories: the
+// live ones, without those that are cut off from the log while others are not.
+func (n *Node) able(now time.Time) []string {
+	up := !n.logUp.IsZero()
+	settled := up && now.Sub(n.logUp) > n.config.Timing.Lease+n.config.Timing.Drift
+	cutOff := !up && !n.mayAct(now)
+	var able []string
+	for _, vm := range n.members.Live(now) {
+		peer := n.logPeers[vm.Name]
+		switch {
+		case vm.Name == n.config.Self.Name && cutOff:
+		case vm.Name != n.config.Self.Name && settled && peer.cutOff(now, n.config.Timing.Lease):
+		default:
+			able = append(able, vm.Name)
+		}
+	}
+	return able
+}
+
 // mayAct tells whether this VM may act as the owner of its engines.
 func (n *Node) mayAct(now time.Time) bool {
 	return n.lease.Valid(now) || n.logDown(now)
--- a/pkg/node/place.go
+++ b/pkg/node/place.go
@@ -40,6 +40,7 @@
 type Placed struct {
 	ID     string
 	Engine string
+	Owner  member.VM
 	Demand float64 // requests a second for the adapter on the engine
 }
 
@@ -82,7 +83,7 @@
 
 // Directory returns the VM that is the directory of an adapter.
 func (v *View) Directory(service string, a spec.Adapter) (member.VM, bool) {
-	vm, ok := v.Known[DirectoryOf(service, a, names(v.Live))]
+	vm, ok := v.Known[DirectoryOf(service, a, v.Able)]
 	return vm, ok
 }
 
@@ -110,7 +111,7 @@
 	eligible := slices.DeleteFunc(n.eligible(edition), func(engine string) bool { return slices.Contains(e.Tried, engine) })
 	placed := n.home(e.Service).Place(now, e.Adapter, eligible)
 	if placed.Engine != "" || len(placed.Ask) == 0 {
-		return []Action{Placed{ID: e.ID, Engine: placed.Engine, Demand: placed.Demand}}
+		return []Action{n.placed(e.ID, placed)}
 	}
 	key := placeKey{service: e.Service, adapter: e.Adapter}
 	n.placing[key] = append(n.placing[key], e.ID)
@@ -120,6 +121,14 @@
 	return []Action{AskBids{Service: e.Service, Adapter: e.Adapter, Owners: n.owners(placed.Ask)}}
 }
 
+func (n *Node) placed(id string, p place.Placement) Action {
+	owner, ok := n.ownerOf(p.Engine)
+	if !ok {
+		return Placed{ID: id}
+	}
+	return Placed{ID: id, Engine: p.Engine, Owner: owner, Demand: p.Demand}
+}
+
 // eligible returns the engines of a document that have an owner.
 func (n *Node) eligible(edition *docs.Edition) []string {
 	var eligible []string
@@ -173,7 +182,7 @@
 		if i > 0 {
 			placed = home.Again(now, e.Adapter)
 		}
-		actions = append(actions, Placed{ID: id, Engine: placed.Engine, Demand: placed.Demand})
+		actions = append(actions, n.placed(id, placed))
 	}
 	return actions
 }
@@ -203,7 +212,7 @@
 // it.
 func (n *Node) evicted(now time.Time, o *owned, i slots.Instance) []Action {
 	e := Evicted{Service: o.ref.service, Adapter: i.Adapter, Engine: o.name}
-	directory := DirectoryOf(o.ref.service, i.Adapter, names(n.members.Live(now)))
+	directory := DirectoryOf(o.ref.service, i.Adapter, n.able(now))
 	if directory == n.config.Self.Name {
 		n.home(e.Service).Evicted(e.Adapter, e.Engine)
 		return nil
--- a/pkg/node/view.go
+++ b/pkg/node/view.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/tanagerlb/tanagerlb/pkg/claim"
 	"github.com/tanagerlb/tanagerlb/pkg/docs"
 	"github.com/tanagerlb/tanagerlb/pkg/member"
 	"github.com/tanagerlb/tanagerlb/pkg/rank"
@@ -18,11 +19,13 @@
 	Ready    bool // has read the documents and the claims
 	Log      bool // the log can be read
 	Live     []member.VM
+	Able     []string             // live VMs that are not cut off from the log
 	Known    map[string]member.VM // by name, with this VM
 	Boots    map[string]member.VM // by incarnation, with this VM
 	States   map[string]string    // of the known VMs, by name
 	Editions map[string]*docs.Edition
 	Owners   map[string]Owner // by engine
+	Yields   []claim.Yield
 }
 
 // Owner is the owner of an engine.
@@ -32,6 +35,16 @@
 	Known bool // its address is known and it may act
 }
 
+// refreshEvery is the time after which a view is made anew for what changes
+// with time alone.
+const refreshEvery = 500 * time.Millisecond
+
+func (n *Node) refresh(now time.Time) {
+	if now.Sub(n.looked) >= refreshEvery {
+		n.dirty = true
+	}
+}
+
 // View returns the present view, and whether it changed since it was asked for
 // last.
 func (n *Node) View(now time.Time) (*View, bool) {
@@ -39,6 +52,7 @@
 		return n.view, false
 	}
 	n.dirty = false
+	n.looked = now
 	n.view = n.look(now)
 	return n.view, true
 }
@@ -49,11 +63,13 @@
 		Leaving:  n.members.Leaving(),
 		Log:      n.readable(docs.Stream),
 		Live:     n.members.Live(now),
+		Able:     n.able(now),
 		Known:    map[string]member.VM{n.config.Self.Name: n.config.Self},
 		Boots:    map[string]member.VM{n.config.Self.Boot: n.config.Self},
 		States:   map[string]string{},
 		Editions: n.documents.Editions(),
 		Owners:   map[string]Owner{},
+		Yields:   n.Yields(now),
 	}
 	v.Ready = (n.caught[docs.Stream] || len(v.Editions) > 0) && !v.Leaving
 	for _, vm := range n.members.Known() {
@@ -74,7 +90,7 @@
 
 // Keeper returns the VM that keeps the keys of a stream.
 func (v *View) Keeper(stream string) (member.VM, bool) {
-	name := rank.First(stream, names(v.Live))
+	name := rank.First(stream, v.Able)
 	vm, ok := v.Known[name]
 	return vm, ok
 }
--- a/pkg/slots/slots.go
+++ b/pkg/slots/slots.go
@@ -195,6 +195,14 @@
 // Running returns the number of requests that run.
 func (e *Engine) Running() int { return len(e.running) }
 
+// RunningOn returns the number of requests that run on an adapter.
+func (e *Engine) RunningOn(a spec.Adapter) int {
+	if i, ok := e.instances[a]; ok {
+		return i.running
+	}
+	return 0
+}
+
 // Waiting returns the number of requests that wait.
 func (e *Engine) Waiting() int {
 	sum := 0
