perf(node): remember who should own a name, probe each pair of VMs once

Cause: a tick ranked all VMs for each engine and key stream, and both VMs of a pair probed each other. Ruled out: the scheduler, which a tick of an idle VM hardly enters. Change: the rank is kept while the live VMs stay the same; a VM that was heard within the probe interval is not probed.

--- /dev/null
+++ b/bench/cost_test.go
@@ -0,0 +1,246 @@
+package bench
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tanagerlb/tanagerlb/pkg/claim"
+	"github.com/tanagerlb/tanagerlb/pkg/docs"
+	"github.com/tanagerlb/tanagerlb/pkg/keys"
+	"github.com/tanagerlb/tanagerlb/pkg/member"
+	"github.com/tanagerlb/tanagerlb/pkg/node"
+	"github.com/tanagerlb/tanagerlb/pkg/permit"
+	"github.com/tanagerlb/tanagerlb/pkg/place"
+	"github.com/tanagerlb/tanagerlb/pkg/rank"
+	"github.com/tanagerlb/tanagerlb/pkg/record"
+	"github.com/tanagerlb/tanagerlb/pkg/slots"
+	"github.com/tanagerlb/tanagerlb/pkg/spec"
+)
+
+var engineCounts = []int{12, 120, 1200, 3000}
+
+func engineNames(count int) []string {
+	names := make([]string, count)
+	for i := range names {
+		names[i] = fmt.Sprintf("lm/e%04d", i)
+	}
+	return names
+}
+
+func adapterOf(i int) spec.Adapter { return spec.Adapter{Name: fmt.Sprintf("a%05d", i), Version: "v1"} }
+
+// The order of preference over engines, for an adapter that has no place yet.
+func BenchmarkRank(b *testing.B) {
+	for _, count := range engineCounts {
+		names := engineNames(count)
+		b.Run(fmt.Sprintf("engines=%d", count), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				rank.Top(adapterOf(i%61_000).Name, names, 12)
+			}
+		})
+	}
+}
+
+// The placing of a request by the directory of its adapter.
+func BenchmarkPlace(b *testing.B) {
+	for _, engines := range engineCounts {
+		for _, adapters := range []int{3000, 61_000} {
+			b.Run(fmt.Sprintf("engines=%d/adapters=%d", engines, adapters), func(b *testing.B) {
+				names := engineNames(engines)
+				timing := node.Defaults()
+				home := place.NewHome(place.HomeConfig{
+					Candidates: timing.Bids, Demand: timing.Demand, Quick: timing.Quick, Fill: timing.Fill, Fresh: timing.Fresh,
+				})
+				for i := range adapters {
+					bid := place.Bid{Engine: names[i%engines], Batch: 16, Service: time.Second}
+					home.Place(epoch, adapterOf(i), names)
+					home.Bids(epoch, adapterOf(i), []place.Bid{bid})
+				}
+				b.ReportAllocs()
+				b.ResetTimer()
+				for i := range b.N {
+					home.Place(epoch.Add(time.Duration(i)*time.Millisecond/10), adapterOf(i%adapters), names)
+				}
+			})
+		}
+	}
+}
+
+// One request through the scheduler of an engine whose adapters are resident,
+// with a number of adapters that are remembered.
+func BenchmarkSchedule(b *testing.B) {
+	for _, adapters := range []int{30, 300, 3000} {
+		b.Run(fmt.Sprintf("adapters=%d", adapters), func(b *testing.B) {
+			timing := node.Defaults()
+			e := slots.New(slots.Config{
+				Slots: 8, Batch: 16, Queue: 512, Weights: slots.Weights{Stall: 1, Batch: 1}, Load: time.Second,
+				Starve: timing.Starve, Backoff: timing.Backoff, Demand: timing.Demand, Fence: 1,
+			})
+			for i := range 8 {
+				e.Adopt(epoch, slots.Instance{Adapter: adapterOf(i), Fence: 1}, true, false)
+			}
+			for i := 8; i < adapters; i++ {
+				r := slots.Request{ID: "warm", Adapter: adapterOf(i), Arrived: epoch, Deadline: epoch.Add(time.Hour)}
+				e.Add(epoch, r)
+				e.Cancel("warm")
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now := epoch.Add(time.Duration(i) * time.Millisecond)
+				id := fmt.Sprint(i)
+				e.Add(now, slots.Request{ID: id, Adapter: adapterOf(i % 8), Arrived: now, Deadline: now.Add(time.Minute)})
+				e.Next(now)
+				e.Finish(now.Add(time.Second), id)
+			}
+		})
+	}
+}
+
+// One permit, with a number of engines that wait for theirs.
+func BenchmarkPermit(b *testing.B) {
+	for _, engines := range engineCounts {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			g := permit.New(permit.Config{Rate: 1e9, Most: 2, Hold: time.Hour, Wait: time.Hour}, epoch)
+			ask := func(i int) permit.Ask {
+				return permit.Ask{ID: permit.ID{VM: "a1", Name: fmt.Sprint(i % engines)}, Weight: float64(i % 97)}
+			}
+			for i := range engines {
+				g.Ask(epoch, ask(i))
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now := epoch.Add(time.Duration(i) * time.Microsecond)
+				for _, id := range g.Ask(now, ask(i)) {
+					g.Release(now, id)
+				}
+				g.Release(now, ask(i).ID)
+				g.Ask(now, ask(i))
+			}
+		})
+	}
+}
+
+// One plain key from its arrival to its outcome, with a number of keys kept.
+func BenchmarkKey(b *testing.B) {
+	for _, kept := range []int{1000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("kept=%d", kept), func(b *testing.B) {
+			t := keys.New(keys.Config{Boot: "b", Partitions: 1, Life: 10 * time.Minute, Skew: time.Second, Most: 10_000_000, Keep: 1024})
+			t.Read(epoch, 0, nil, true)
+			one := func(now time.Time, i int) {
+				key := keys.Make(now, "", fmt.Sprintf("key-%08d", i))
+				for _, a := range t.Begin(now, keys.Call{ID: key.Text, Key: key, Print: 1, Deadline: now.Add(time.Minute)}) {
+					if appended, ok := a.(keys.Append); ok {
+						t.Read(now, 0, []record.Record{{Offset: 1, Data: appended.Data}}, true)
+					}
+				}
+				t.Ended(key, keys.Ran, "", keys.Reply{Status: 200, Body: "ok"})
+			}
+			for i := range kept {
+				one(epoch, i)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				one(epoch.Add(time.Duration(i)*time.Microsecond), kept+i)
+			}
+		})
+	}
+}
+
+func documentText(engines, adapters int) string {
+	var b strings.Builder
+	b.WriteString("service: lm\nkind: model\nbase: base-7b\nengines:\n")
+	for i := range engines {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(i >> 16), byte(i >> 8), byte(i)}), 7000)
+		fmt.Fprintf(&b, "- {name: e%04d, address: \"%s\", slots: 8, batch: 16}\n", i, address)
+	}
+	b.WriteString("adapters:\n")
+	for i := range adapters {
+		fmt.Fprintf(&b, "- {name: a%05d, version: v1}\n", i)
+	}
+	return b.String()
+}
+
+// The reading of one document version, and its size.
+func BenchmarkDocument(b *testing.B) {
+	for _, adapters := range []int{300, 3000, 15_000, 61_000} {
+		b.Run(fmt.Sprintf("adapters=%d", adapters), func(b *testing.B) {
+			data, err := record.Encode(docs.Kind, docs.Proposal{Service: "lm", Text: documentText(12, adapters)})
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for range b.N {
+				if _, err := docs.New(docs.Config{}).Apply(record.Record{Offset: 1, Data: data}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(data)), "record-bytes")
+		})
+	}
+}
+
+// The tick of a VM's control thread, of which there are 20 a second, with a
+// number of VMs and of engines that all VMs together own.
+func BenchmarkTick(b *testing.B) {
+	for _, size := range []struct{ vms, engines int }{{3, 12}, {9, 12}, {96, 300}, {960, 3000}} {
+		b.Run(fmt.Sprintf("vms=%d/engines=%d", size.vms, size.engines), func(b *testing.B) {
+			n := bigNode(b, size.vms, size.engines)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now := epoch.Add(time.Duration(i) * 50 * time.Millisecond)
+				n.Step(now, node.Tick{})
+				n.View(now)
+			}
+		})
+	}
+}
+
+// bigNode returns a node that knows a whole fleet.
+func bigNode(b *testing.B, vms, engines int) *node.Node {
+	vm := func(i int) member.VM {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i)}), 7000)
+		return member.VM{Name: fmt.Sprintf("vm-%03d", i), Boot: fmt.Sprintf("%016x", i), Zone: fmt.Sprint(i % 5), Caller: address, Peer: address}
+	}
+	n := node.New(node.Config{
+		Self:   vm(0),
+		Store:  node.Store{Rate: 5, Most: 2, Load: time.Second},
+		Keys:   node.Keys{Partitions: 64, Life: time.Minute, Most: 1000},
+		Timing: node.Defaults(),
+	})
+	n.Step(epoch, node.Tick{})
+	var live []string
+	for i := range vms {
+		live = append(live, vm(i).Name)
+		if i > 0 {
+			n.Step(epoch, node.Heard{VM: vm(i), Log: true})
+		}
+	}
+	data, err := record.Encode(docs.Kind, docs.Proposal{Service: "lm", Text: documentText(engines, 3000)})
+	if err != nil {
+		b.Fatal(err)
+	}
+	n.Step(epoch, node.LogRead{Stream: docs.Stream, Sent: epoch, Batch: record.Batch{Records: []record.Record{{Offset: 1, Data: data}}, Next: 2, Tail: 2}})
+	var claims []record.Record
+	for i := range engines {
+		name := node.EngineName("lm", fmt.Sprintf("e%04d", i))
+		owner := rank.First(name, live)
+		var at int
+		_, _ = fmt.Sscanf(owner, "vm-%d", &at)
+		claimed, err := record.Encode(claim.Kind, claim.Claim{Engine: name, VM: owner, Boot: vm(at).Boot})
+		if err != nil {
+			b.Fatal(err)
+		}
+		claims = append(claims, record.Record{Offset: int64(i + 1), Data: claimed})
+	}
+	next := int64(engines + 1)
+	n.Step(epoch, node.LogRead{Stream: claim.Stream, Sent: epoch, Batch: record.Batch{Records: claims, Next: next, Tail: next}})
+	return n
+}
--- /dev/null
+++ b/e2e/control_test.go
@@ -0,0 +1,124 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/tanagerlb/tanagerlb/gen/operator"
+	"github.com/tanagerlb/tanagerlb/internal/testlib"
+)
+
+// BenchmarkControl measures what control costs a VM at rest and at one
+// published version a second: processor time, resident memory, and bytes
+// through the links to the log and between the VMs.
+//
+//	go test ./e2e -run xxx -bench Control -benchtime 1x
+func BenchmarkControl(b *testing.B) {
+	for _, vms := range []int{3, 6, 9, 18, 30} {
+		for _, publish := range []bool{false, true} {
+			b.Run(fmt.Sprintf("vms=%d/publish=%t", vms, publish), func(b *testing.B) {
+				for range b.N {
+					measureControl(b, vms, publish)
+				}
+			})
+		}
+	}
+}
+
+// measureFor is how long control is measured.
+const measureFor = 10 * time.Second
+
+func measureControl(b *testing.B, vms int, publish bool) {
+	f := testlib.NewFleet(b, testlib.FleetConfig{VMs: vms, Engines: 12, Keys: 16})
+	f.MustPublish(f.ModelDocument(adapters...))
+	f.AwaitOwned()
+	time.Sleep(2 * time.Second)
+	cpu, logs, peers, appends := controlSums(f)
+	end := time.Now().Add(measureFor)
+	base := f.VMs[0].Version("lm-assist")
+	for i := 0; publish && time.Now().Before(end); i++ {
+		text := f.ModelDocument(append(adapters[1:], fmt.Sprintf("school-1@p%d", i))...)
+		v, err := f.VMs[i%vms].Operators().Publish(context.Background(), &operator.PublishPayload{Base: base, Document: text})
+		if err != nil || !v.Accepted {
+			b.Fatalf("publish: %v %+v", err, v)
+		}
+		base = v.Version
+		time.Sleep(time.Second)
+	}
+	time.Sleep(time.Until(end))
+	cpu2, logs2, peers2, appends2 := controlSums(f)
+	per := float64(vms) * measureFor.Seconds()
+	b.ReportMetric(100*(cpu2-cpu)/per, "%core/VM")
+	b.ReportMetric((logs2-logs)/per, "log-B/s/VM")
+	b.ReportMetric((peers2-peers)/per, "peer-B/s/VM")
+	b.ReportMetric(float64(appends2-appends)/measureFor.Seconds(), "appends/s")
+	b.ReportMetric(f.VMs[0].Metric("process_resident_memory_bytes")/(1<<20), "MB/VM")
+	for _, vm := range f.VMs {
+		vm.Kill()
+	}
+}
+
+func controlSums(f *testlib.Fleet) (cpu, logs, peers float64, appends int) {
+	for _, vm := range f.VMs {
+		cpu += vm.Metric("process_cpu_seconds_total")
+		logs += float64(vm.LogProxy.Bytes())
+		peers += float64(vm.PeerProxy.Bytes())
+	}
+	return cpu, logs, peers, f.Log.Counts().Appends
+}
+
+// BenchmarkLatency measures what the way through the VMs adds to a call: a
+// model call of one token directly to the stand-in and through two VMs, and
+// calls that may not be repeated under plain and under bound keys.
+//
+//	go test ./e2e -run xxx -bench Latency -benchtime 200x
+func BenchmarkLatency(b *testing.B) {
+	f := testlib.NewFleet(b, testlib.FleetConfig{Engines: 1, Step: time.Microsecond})
+	base := f.MustPublish(f.ModelDocument("school-1@v1"))
+	_ = base
+	owner := ownedBy(f)
+	other := f.VMs[0]
+	if other == owner {
+		other = f.VMs[1]
+	}
+	if a := testlib.Complete(other.Caller, "school-1", "warm", 1); !a.Done() {
+		b.Fatalf("%+v", a)
+	}
+	resident := owner.Status().Engines[0].Resident[0]
+	b.Run("model/direct", func(b *testing.B) {
+		for range b.N {
+			testlib.Post(f.EngineProxies[0].Address(), "/v1/completions", nil, map[string]any{"model": resident, "prompt": "x", "max_tokens": 1})
+		}
+	})
+	b.Run("model/two-VMs", func(b *testing.B) {
+		for range b.N {
+			testlib.Complete(other.Caller, "school-1", "x", 1)
+		}
+	})
+	if _, err := f.VMs[0].Publish(0, f.PlainDocument()); err != nil {
+		b.Fatal(err)
+	}
+	addresses, err := testlib.Addresses(other.Caller, other.Zone)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for name, boot := range map[string]string{"plain-key": "", "bound-key": addresses[0].Boot} {
+		b.Run("once/"+name, func(b *testing.B) {
+			before := f.Log.Counts().Appends
+			for i := range b.N {
+				key := keyOf(boot, fmt.Sprintf("%s-%d-%08d", name, b.N, i))
+				if a := testlib.Send(other.Caller, key, 1, "x"); !a.Done() {
+					b.Fatalf("%+v", a)
+				}
+			}
+			b.ReportMetric(1000*float64(f.Log.Counts().Appends-before)/float64(b.N), "appends/1000")
+		})
+	}
+	b.Run("once/direct", func(b *testing.B) {
+		for range b.N {
+			testlib.Post(f.ServiceProxy.Address(), "/calls/send", nil, "x")
+		}
+	})
+}
--- a/e2e/lasting_test.go
+++ b/e2e/lasting_test.go
@@ -333,6 +333,9 @@
 
 func plainKey(int) string { return "" }
 
+// keyOf returns a key made now, bound to an incarnation if boot is not empty.
+func keyOf(boot, random string) string { return keys.Make(time.Now(), boot, random).Text }
+
 // Calls that may not be repeated run at most once while VMs are killed and
 // frozen, the log is cut, and answers are lost; what callers are told is true.
 func TestOnceUnderFaults(t *testing.T) {
--- a/internal/testlib/proxy.go
+++ b/internal/testlib/proxy.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -34,6 +35,7 @@
 	mode     Mode
 	delay    time.Duration
 	links    map[*link]bool
+	bytes    atomic.Int64
 }
 
 // NewProxy starts a proxy that ends with the test.
@@ -71,6 +73,9 @@
 	}
 }
 
+// Bytes returns the number of bytes passed on so far, both ways.
+func (p *Proxy) Bytes() int64 { return p.bytes.Load() }
+
 // Delay makes the proxy wait before it passes each piece on.
 func (p *Proxy) Delay(d time.Duration) {
 	p.mu.Lock()
@@ -216,6 +221,7 @@
 	if d := u.link.proxy.wait(); d > 0 {
 		time.Sleep(d)
 	}
+	u.link.proxy.bytes.Add(int64(len(piece)))
 	_, err := u.to.Write(piece)
 	return err == nil
 }
--- a/pkg/node/claims.go
+++ b/pkg/node/claims.go
@@ -76,7 +76,7 @@
 // misplaced tells whether a claim of this VM should be given up: at once when
 // it leaves, else when another VM should have had it for long enough.
 func (n *Node) misplaced(now time.Time, name string, live []string) bool {
-	if rank.First(name, live) == n.config.Self.Name {
+	if n.firstOf(name, live) == n.config.Self.Name {
 		delete(n.preferred, name)
 		return false
 	}
@@ -86,8 +86,23 @@
 	return n.members.Leaving() || now.Sub(n.preferred[name]) >= n.config.Timing.Settle
 }
 
+// firstOf returns the VM that should own a name. It remembers the answer while
+// the live VMs stay the same.
+func (n *Node) firstOf(name string, live []string) string {
+	if !slices.Equal(live, n.rankedFor) {
+		n.rankedFor = slices.Clone(live)
+		clear(n.ranked)
+	}
+	first, ok := n.ranked[name]
+	if !ok {
+		first = rank.First(name, live)
+		n.ranked[name] = first
+	}
+	return first
+}
+
 func (n *Node) claimOne(now time.Time, name string, live []string) []Action {
-	if rank.First(name, live) != n.config.Self.Name || now.Sub(n.claiming[name]) < claimAgain {
+	if n.firstOf(name, live) != n.config.Self.Name || now.Sub(n.claiming[name]) < claimAgain {
 		return nil
 	}
 	h, ok := n.claims.Of(name)
--- a/pkg/node/log.go
+++ b/pkg/node/log.go
@@ -21,7 +21,7 @@
 	live := n.able(now)
 	for p := range n.config.Keys.Partitions {
 		stream := keys.Stream(p)
-		if KeeperOf(stream, live) == n.config.Self.Name || n.keys.Waits(p) {
+		if n.firstOf(stream, live) == n.config.Self.Name || n.keys.Waits(p) {
 			want[stream] = true
 		}
 	}
@@ -44,9 +44,6 @@
 	return actions
 }
 
-// KeeperOf returns the VM that keeps the keys of a stream.
-func KeeperOf(stream string, live []string) string { return rank.First(stream, live) }
-
 func names(vms []member.VM) []string {
 	names := make([]string, len(vms))
 	for i, vm := range vms {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -108,6 +108,8 @@
 	followed   map[string]bool
 	caught     map[string]bool      // streams read up to the tail once
 	claiming   map[string]time.Time // claims appended and not yet read
+	ranked     map[string]string    // the VM that should own a name
+	rankedFor  []string             // live VMs for which ranked holds
 	logPeers   map[string]peerLog
 	versions   map[string]map[string]int64 // document versions that peers have
 	failed     map[string]bool             // streams whose last read failed
@@ -171,6 +173,7 @@
 		followed:  map[string]bool{},
 		caught:    map[string]bool{},
 		claiming:  map[string]time.Time{},
+		ranked:    map[string]string{},
 		logPeers:  map[string]peerLog{},
 		versions:  map[string]map[string]int64{},
 		failed:    map[string]bool{},
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -37,7 +37,11 @@
 func (n *Node) probe(now time.Time) []Action {
 	var actions []Action
 	for _, vm := range n.probees() {
-		if now.Sub(n.probed[vm.Name]) < n.config.Timing.Probe {
+		last := n.probed[vm.Name]
+		if heard := n.members.Heard(vm.Name); heard.After(last) && !n.members.Leaving() {
+			last = heard // the peer's own probe was answered
+		}
+		if now.Sub(last) < n.config.Timing.Probe {
 			continue
 		}
 		n.probed[vm.Name] = now
