--- a/bench/shift_test.go
+++ b/bench/shift_test.go
@@ -4,12 +4,13 @@
 	"testing"
 	"time"
 
+	"github.com/tanagerlb/tanagerlb/internal/testlib"
 	"github.com/tanagerlb/tanagerlb/pkg/spec"
 )
 
 // After all popularity is dealt anew, load stalls are to be back within 10% of
 // the steady state in 1.5 times the time that the weight store needs for the
-// changed adapters. The test logs how far that is reached.
+// changed adapters, which is 29 s here.
 func TestFlip(t *testing.T) {
 	w := pasta
 	w.flip = 5 * time.Minute
@@ -22,6 +23,10 @@
 	t.Logf("the weight store needs %s for the changed adapters", changed)
 	for _, r := range results {
 		steady := r.stallBetween(0, 30)
+		if r == results[0] {
+			after, limit := r.stallBetween(33, 42), 1.1*steady
+			testlib.Target(t, "flip-recovery", after <= limit, "stall %.0f ms, want at most %.0f ms", after, limit)
+		}
 		t.Logf("%s: stall before %.0f ms, in the 30 s after %.0f ms, 30 to 60 s %.0f ms, 60 to 120 s %.0f ms, 120 to 300 s %.0f ms, refused %v",
 			r.name, steady, r.stallBetween(30, 33), r.stallBetween(33, 36), r.stallBetween(36, 42), r.stallBetween(42, 60), r.refused)
 	}
@@ -42,7 +47,7 @@
 
 // Under twice the load that the engines can do, the most urgent requests are to
 // wait at most 1.2 times as long as without overload, and the others give way
-// by urgency. The test logs how far that is reached.
+// by urgency.
 func TestOverload(t *testing.T) {
 	calm, storm := qureshi, qureshi
 	calm.rate, storm.rate = 40, 160
@@ -53,6 +58,8 @@
 			u, ms(percentile(before.waits[u], 0.99)), ms(percentile(after.waits[u], 0.99)),
 			100*float64(after.refusedBy[u])/float64(after.arrivedBy[u]))
 	}
+	calmWait, stormWait := percentile(before.waits[spec.Urgent], 0.99), percentile(after.waits[spec.Urgent], 0.99)
+	testlib.Target(t, "overload-urgent-wait", stormWait <= calmWait*12/10, "p99 wait %s, want at most 1.2 times %s", stormWait, calmWait)
 	if after.refusedBy[spec.Urgent]*after.arrivedBy[spec.Patient] > after.refusedBy[spec.Patient]*after.arrivedBy[spec.Urgent] {
 		t.Error("urgent requests are refused more often than patient ones")
 	}
--- /dev/null
+++ b/internal/testlib/known.go
@@ -0,0 +1,51 @@
+package testlib
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// Target fails a test whose target is missed, unless KNOWN-RED.txt at the root
+// lists the target by its name; then it only tells.
+func Target(t *testing.T, name string, holds bool, format string, args ...any) {
+	t.Helper()
+	if holds {
+		return
+	}
+	if knownRed(t, name) {
+		t.Logf("known red: "+name+": "+format, args...)
+		return
+	}
+	t.Errorf(name+": "+format, args...)
+}
+
+func knownRed(t *testing.T, name string) bool {
+	t.Helper()
+	for folder := "."; ; folder = filepath.Join(folder, "..") {
+		if _, err := os.Stat(filepath.Join(folder, "go.mod")); err != nil {
+			continue
+		}
+		text, err := os.ReadFile(filepath.Join(folder, "KNOWN-RED.txt"))
+		if err != nil {
+			t.Fatalf("read KNOWN-RED.txt: %v", err)
+		}
+		for _, line := range strings.Split(string(text), "\n") {
+			if strings.HasPrefix(line, name+" |") {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+// RunSeeded runs the tests of a package with a fixed seed of their property
+// tests, so that each run gives the same verdict.
+func RunSeeded(m *testing.M) int {
+	if err := flag.Set("rapid.seed", "20261203"); err != nil {
+		panic(err)
+	}
+	return m.Run()
+}
--- a/pkg/claim/claim_test.go
+++ b/pkg/claim/claim_test.go
@@ -1,7 +1,7 @@
 package claim_test
 
 import (
-	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -33,7 +33,7 @@
 			held, _ := writer.Of("e")
 			c := claim.Claim{
 				Engine: "e",
-				VM:     fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "vm")),
+				VM:     strconv.Itoa(rapid.IntRange(0, 2).Draw(t, "vm")),
 				Boot:   "b",
 				Prev:   rapid.SampledFrom([]int64{held.Fence, held.Fence, 0, 1}).Draw(t, "prev"),
 				Free:   rapid.IntRange(0, 4).Draw(t, "free") == 0,
--- a/pkg/claim/main_test.go
+++ b/pkg/claim/main_test.go
@@ -1,16 +1,10 @@
 package claim_test
 
 import (
-	"flag"
 	"os"
 	"testing"
+
+	"github.com/tanagerlb/tanagerlb/internal/testlib"
 )
 
-// TestMain fixes the seed of the property tests, so that each run gives the
-// same verdict.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "20261203"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(testlib.RunSeeded(m)) }
--- a/pkg/slots/slots_test.go
+++ b/pkg/slots/slots_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -35,7 +36,7 @@
 	permit  string                  // "", wanted or held
 }
 
-func (m *model) take(now time.Time, actions []slots.Action) {
+func (m *model) take(actions []slots.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
 		case slots.Start:
@@ -103,10 +104,10 @@
 		for step := range rapid.IntRange(1, 120).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
 			m.step(now, step)
-			m.take(now, m.sched.Next(now))
+			m.take(m.sched.Next(now))
 		}
 		now = now.Add(time.Hour)
-		m.take(now, m.sched.Next(now))
+		m.take(m.sched.Next(now))
 		if len(m.asked) > 0 || m.sched.Waiting() > 0 {
 			t.Fatalf("requests without an answer: %v", m.asked)
 		}
@@ -119,14 +120,14 @@
 	case 0, 1, 2:
 		r := slots.Request{
 			ID:       fmt.Sprintf("r%d", step),
-			Adapter:  spec.Adapter{Name: fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "adapter")), Version: "v1"},
+			Adapter:  spec.Adapter{Name: strconv.Itoa(rapid.IntRange(0, 4).Draw(t, "adapter")), Version: "v1"},
 			Urgency:  spec.Urgency(rapid.IntRange(0, 2).Draw(t, "urgency")),
 			Arrived:  now,
 			Deadline: now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "deadline")) * time.Millisecond),
 			Suspect:  rapid.Bool().Draw(t, "suspect"),
 		}
 		m.asked[r.ID] = r.Adapter
-		m.take(now, m.sched.Add(now, r))
+		m.take(m.sched.Add(now, r))
 	case 3:
 		for id := range m.on {
 			delete(m.on, id)
@@ -157,11 +158,10 @@
 		if p != phase {
 			continue
 		}
-		switch {
-		case phase == "loading":
+		if phase == "loading" {
 			m.permit = ""
 			m.sched.Loaded(now, i, ok)
-		default:
+		} else {
 			m.sched.Unloaded(i, ok)
 		}
 		if ok == (phase == "loading") {
