--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,8 +50,8 @@
 // Entry serves the callers of one VM.
 type Entry struct {
 	config Config
-	mu     sync.Mutex // guards hints and budget
-	hints  *place.Table
+	mu     sync.Mutex   // guards table and budget
+	table  *place.Table // for when a directory does not answer
 	budget *retry.Budget
 	serial atomic.Uint64
 	active atomic.Int64
@@ -59,7 +59,7 @@
 
 // New returns an entry.
 func New(c Config) *Entry {
-	return &Entry{config: c, hints: place.New(), budget: retry.New(c.Retry)}
+	return &Entry{config: c, table: place.New(), budget: retry.New(c.Retry)}
 }
 
 // Active returns the number of calls that have no answer yet.
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -225,7 +225,7 @@
 	engines := Engines(m.edition)
 	m.entry.mu.Lock()
 	defer m.entry.mu.Unlock()
-	m.engine = m.entry.hints.Pick(now, m.request.Adapter.String(), engines, m.tried)
+	m.engine = m.entry.table.Pick(now, m.request.Adapter.String(), engines, m.tried)
 	charge := view.Owners[m.engine]
 	return charge.VM, charge.Known
 }
@@ -275,7 +275,7 @@
 	m.tried[m.engine] = true
 	if unreachable(reason) {
 		m.entry.mu.Lock()
-		m.entry.hints.Avoid(now, m.engine, avoidFor)
+		m.entry.table.Avoid(now, m.engine, avoidFor)
 		m.entry.mu.Unlock()
 	}
 }
