fix(guard): read the rest of a refused body so that the answer arrives

Ruled out: the proxy (the new test of the guard has none). Change: up to 16 MB or 1 s of a refused body are dropped after the answer.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -46,6 +46,7 @@
 	body, status := g.read(w, r)
 	if status != 0 {
 		g.refuse(w, status)
+		drain(w, r)
 		return
 	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
@@ -85,6 +86,22 @@
 	}
 }
 
+const (
+	drainBytes = 16 << 20    // of a refused body that are read and dropped
+	drainTime  = time.Second // for which they are
+)
+
+// drain drops the rest of a refused body after the answer was sent: a
+// connection that is closed with bytes unread is reset, and the client may
+// never see the answer.
+func drain(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	if control.Flush() != nil || control.SetReadDeadline(time.Now().Add(drainTime)) != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, r.Body, drainBytes)
+}
+
 // refuse answers at once. The request was not run.
 func (g *Guard) refuse(w http.ResponseWriter, status int) {
 	g.config.Refused(status)
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -67,6 +67,7 @@
 		{"none", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 200 OK"},
 		{"too large", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 17\r\n\r\n", "HTTP/1.1 413 Request Entity Too Large"},
 		{"too large in chunks", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n20\r\n" + strings.Repeat("a", 32) + "\r\n0\r\n\r\n", "HTTP/1.1 413 Request Entity Too Large"},
+		{"far too large", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 8000000\r\n\r\n" + strings.Repeat("a", 8_000_000), "HTTP/1.1 413 Request Entity Too Large"},
 		{"slow", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nok", "HTTP/1.1 408 Request Timeout"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
