refactor(delay): wait in one place

Four packages each had their own wait that ends with its context; one serves all now. The control thread's state had two accessors, and a lease one that nothing called. Behaviour stays.

--- a/internal/ctrl/do.go
+++ b/internal/ctrl/do.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/tanagerlb/tanagerlb/internal/delay"
 	"github.com/tanagerlb/tanagerlb/internal/infer"
 	"github.com/tanagerlb/tanagerlb/internal/logs"
 	"github.com/tanagerlb/tanagerlb/pkg/node"
@@ -40,7 +41,7 @@
 	case node.Probe:
 		l.probe(ctx, a)
 	case node.Borrow:
-		go (&borrowJob{loop: l, action: a, have: l.self().Versions}).run(ctx)
+		go (&borrowJob{loop: l, action: a, have: l.Self().Versions}).run(ctx)
 	case node.Poll:
 		l.poll(ctx, a)
 	case node.Load:
@@ -99,8 +100,8 @@
 // PlaceID returns the id under which the place of a request is awaited.
 func PlaceID(id string) string { return "place " + id }
 
-// self is called on the control thread.
-func (l *Loop) self() Self {
+// Self returns what this VM tells of itself.
+func (l *Loop) Self() Self {
 	v := l.view.Load()
 	s := Self{VM: v.Self, Leaving: v.Leaving, Log: v.Log, Yields: v.Yields, Versions: map[string]int64{}}
 	for service, e := range v.Editions {
@@ -109,9 +110,6 @@
 	return s
 }
 
-// Self returns what this VM tells of itself.
-func (l *Loop) Self() Self { return l.self() }
-
 func (l *Loop) follow(ctx context.Context, stream string) {
 	l.followers[stream] = logs.Follow(ctx, logs.FollowConfig{
 		Client: l.config.Log,
@@ -127,7 +125,7 @@
 		return
 	}
 	l.probing[a.VM.Name] = true
-	go (&probeJob{loop: l, action: a, self: l.self()}).run(ctx)
+	go (&probeJob{loop: l, action: a, self: l.Self()}).run(ctx)
 }
 
 func (l *Loop) poll(ctx context.Context, a node.Poll) {
@@ -219,7 +217,7 @@
 			break
 		}
 		j.loop.config.Engines.Fresh()
-		pause(ctx, orderPause)
+		delay.Wait(ctx, orderPause)
 	}
 	result := "ok"
 	if err != nil {
@@ -338,12 +336,3 @@
 		j.loop.config.Metrics.Failed("directory")
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -174,16 +174,3 @@
 	defer e.mu.Unlock()
 	e.budget.Earn(names...)
 }
-
-// pause waits before a further attempt. It tells whether the caller still
-// waits.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/entry/invoke.go
+++ b/internal/entry/invoke.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/tanagerlb/tanagerlb/internal/delay"
 	"github.com/tanagerlb/tanagerlb/internal/keeper"
 	"github.com/tanagerlb/tanagerlb/internal/plain"
 	"github.com/tanagerlb/tanagerlb/pkg/docs"
@@ -77,7 +78,7 @@
 		switch d := e.next(time.Now(), attempt, budgets...).(type) {
 		case retry.Again:
 			e.config.Metrics.Retried(UpstreamsDown)
-			pause(ctx, d.After)
+			delay.Wait(ctx, d.After)
 		case retry.GiveUp:
 			e.config.Metrics.GaveUp(string(d.Reason))
 			if sent {
@@ -121,7 +122,7 @@
 		switch d := e.next(time.Now(), attempt, budgets...).(type) {
 		case retry.Again:
 			e.config.Metrics.Retried(KeeperSilent)
-			pause(ctx, d.After)
+			delay.Wait(ctx, d.After)
 		case retry.GiveUp:
 			e.config.Metrics.GaveUp(string(d.Reason))
 			return nil, e.unkept(r.First)
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/tanagerlb/tanagerlb/internal/delay"
 	"github.com/tanagerlb/tanagerlb/internal/owner"
 	"github.com/tanagerlb/tanagerlb/internal/peer"
 	"github.com/tanagerlb/tanagerlb/pkg/crash"
@@ -128,7 +129,7 @@
 		switch d := decision.(type) {
 		case retry.Again:
 			m.entry.config.Metrics.Retried(string(result.Reason))
-			if !pause(ctx, d.After) {
+			if !delay.Wait(ctx, d.After) {
 				return nil, m.give(owner.Canceled, result.After)
 			}
 		case retry.GiveUp:
--- a/internal/logs/append.go
+++ b/internal/logs/append.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"github.com/tanagerlb/tanagerlb/internal/delay"
 )
 
 // AppendConfig sets up an Appender.
@@ -72,7 +74,7 @@
 		if err := c.append(ctx, records); err != nil {
 			c.owner.config.Sink.LogFailed(c.stream, err)
 		}
-		pause(ctx, c.owner.config.Every)
+		delay.Wait(ctx, c.owner.config.Every)
 	}
 }
 
@@ -91,7 +93,7 @@
 		if errors.Is(err, context.DeadlineExceeded) {
 			return err
 		}
-		pause(ctx, c.owner.config.Every)
+		delay.Wait(ctx, c.owner.config.Every)
 	}
 	return err
 }
--- a/internal/logs/follow.go
+++ b/internal/logs/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/tanagerlb/tanagerlb/internal/delay"
 	"github.com/tanagerlb/tanagerlb/pkg/record"
 )
 
@@ -52,7 +53,7 @@
 		if err != nil {
 			f.config.Client.Fresh()
 			f.config.Sink.LogFailed(f.config.Stream, err)
-			pause(ctx, f.config.Pause)
+			delay.Wait(ctx, f.config.Pause)
 			wait = 0
 			continue
 		}
@@ -61,12 +62,3 @@
 		wait = f.config.Wait
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/tanagerlb/tanagerlb/internal/delay"
 )
 
 // FenceHeader carries the fencing number of an order.
@@ -303,7 +305,7 @@
 	adapter, _, _ := strings.Cut(c.Model, "#")
 	flush := http.NewResponseController(w)
 	for offset := c.Offset; offset < c.Tokens; offset++ {
-		sleep(r.Context(), e.config.Step)
+		delay.Wait(r.Context(), e.config.Step)
 		select {
 		case <-crash:
 			panic(http.ErrAbortHandler)
--- a/internal/stand/stand.go
+++ b/internal/stand/stand.go
@@ -14,6 +14,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/tanagerlb/tanagerlb/internal/delay"
 )
 
 // maxBody bounds the body of a request, in bytes.
@@ -87,7 +89,7 @@
 		<-r.Context().Done()
 		return false
 	default:
-		return sleep(r.Context(), time.Duration(faults.Slow)*time.Millisecond)
+		return delay.Wait(r.Context(), time.Duration(faults.Slow)*time.Millisecond)
 	}
 }
 
@@ -104,20 +106,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func readJSON(w http.ResponseWriter, r *http.Request, out any) bool {
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(out)
 	if err != nil {
--- a/internal/stand/store.go
+++ b/internal/stand/store.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/tanagerlb/tanagerlb/internal/delay"
 )
 
 // StoreConfig sets up a Store.
@@ -59,7 +61,7 @@
 		return
 	}
 	s.begin(time.Now())
-	sleep(r.Context(), s.config.Load)
+	delay.Wait(r.Context(), s.config.Load)
 	s.end()
 	_, _ = w.Write([]byte("weights"))
 }
--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -155,9 +155,6 @@
 	return !l.confirmed.IsZero() && now.Sub(l.confirmed) < l.Length
 }
 
-// Confirmed returns when the tail was last confirmed.
-func (l *Lease) Confirmed() time.Time { return l.confirmed }
-
 // Ready returns when the owner may give its first order: at once after a clean
 // change, else when the owner before can no longer hold a valid lease.
 func (l *Lease) Ready(h Holding) time.Time {
