--- a/cmd/tanagerlb/main.go
+++ b/cmd/tanagerlb/main.go
@@ -70,6 +70,7 @@
 func commands() []entry {
 	return []entry{
 		{"serve", "Run an entry VM", "Runs an entry VM until SIGTERM, then leaves gracefully.", &serveCommand{}},
+		{"edge", "Run an entry VM on the platform", "Runs an entry VM on the users' platform until SIGTERM, then leaves gracefully.", &edgeCommand{}},
 		{"demo", "Show the whole path", "Runs stand-ins and three VMs in this process and shows what they do.", &demoCommand{}},
 		{"publish", "Publish a document", "Publishes a document and prints the verdict that was read back.", &publishCommand{}},
 		{"show", "Show a document", "Prints the document of a service that is in force.", &showCommand{}},
--- /dev/null
+++ b/internal/edge/control.go
@@ -0,0 +1,547 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/tanagerlb/tanagerlb/internal/metric"
+	"github.com/tanagerlb/tanagerlb/internal/relay"
+	"github.com/tanagerlb/tanagerlb/pkg/engine"
+	"github.com/tanagerlb/tanagerlb/pkg/fence"
+	"github.com/tanagerlb/tanagerlb/pkg/gossip"
+	"github.com/tanagerlb/tanagerlb/pkg/roster"
+	"github.com/tanagerlb/tanagerlb/pkg/route"
+	"github.com/tanagerlb/tanagerlb/platform"
+)
+
+// event is what the control thread takes in.
+type event interface{ event() }
+
+// received is a packet. A packet of this VM itself has no sender.
+type received struct {
+	from   netip.AddrPort
+	packet packet
+}
+
+// ordered is the end of an order to an engine.
+type ordered struct {
+	engine string
+	token  int64
+	action engine.Action
+	result engine.Result
+	fenced bool // the engine has seen a higher token
+	moved  bool // another upstream has the address
+}
+
+// looked is the end of a look at an engine's report.
+type looked struct {
+	engine string
+	token  int64
+	report platform.Report
+	err    error
+}
+
+// claimed is the end of an attempt to claim engines.
+type claimed struct{ err error }
+
+// leave tells that the VM takes no new callers.
+type leave struct{}
+
+func (listed) event()   {}
+func (read) event()     {}
+func (received) event() {}
+func (ordered) event()  {}
+func (looked) event()   {}
+func (claimed) event()  {}
+func (leave) event()    {}
+
+// Keys of the fleet topic.
+const (
+	keyVM    = "vm/"
+	keyClaim = "own/"
+)
+
+// Times of the control thread.
+const (
+	// probePause is the time between two probes; see gossip.Config.
+	probePause = 100 * time.Millisecond
+	// busyPause is the time between two looks at engines with waiting work.
+	busyPause = 10 * time.Millisecond
+	// settleTime is how long a VM listens before it claims engines.
+	settleTime = 1200 * time.Millisecond
+	// spread separates the first claims of VMs that start together.
+	spread = 80 * time.Millisecond
+	// claimPause is the time between two looks for engines to claim.
+	claimPause = 250 * time.Millisecond
+	// aloneTime is how long a VM that hears no other must do so before it
+	// claims engines: it may be cut off.
+	aloneTime = 15 * time.Second
+	// lapseGrace is the time that upstreams need to register again after an
+	// outage of the store, with a margin on the platform's two seconds.
+	lapseGrace = 2500 * time.Millisecond
+	// leaseMargin is kept beyond the lease for the clocks and ways of two VMs.
+	leaseMargin = 300 * time.Millisecond
+	// buryTime is how long a dead VM is remembered.
+	buryTime = 20 * time.Second
+)
+
+// directory is who may be named to callers.
+type directory struct {
+	self  gossip.VM
+	vms   []gossip.VM // alive, by name
+	ready bool        // this VM serves callers
+}
+
+// control owns the beliefs of the VM. Its loop is the only one to touch them;
+// traffic reads what it publishes.
+type control struct {
+	settings  platform.Settings
+	self      gossip.VM
+	store     *platform.Store
+	engines   *platform.Engines
+	wire      *wire
+	desk      *desk
+	metrics   *metric.Set
+	logger    *zap.Logger
+	events    chan event
+	view      atomic.Pointer[relay.View]
+	directory atomic.Pointer[directory]
+	drop      func(netip.AddrPort) // closes connections to an upstream that left
+
+	table    *route.Table
+	roster   *roster.Table
+	fence    *fence.Table
+	gossip   *gossip.Table
+	versions map[engine.Name]int64
+	held     map[string]*holder
+	tail     int64 // offset at which the fleet topic ends; -1 before it was read
+	claiming bool
+	leaving  bool
+	started  time.Time
+	alone    time.Time // since when no other VM was heard
+	tried    time.Time // when engines to claim were last looked for
+}
+
+// holder is an engine that this VM schedules.
+type holder struct {
+	upstream roster.Upstream
+	engine   *engine.Engine
+	token    int64
+	asked    map[string]netip.AddrPort // who waits for an answer, by ask
+}
+
+func (c *control) loop(ctx context.Context) {
+	c.started, c.alone = time.Now(), time.Now()
+	probes := time.NewTicker(probePause)
+	defer probes.Stop()
+	wake := time.NewTimer(probePause)
+	defer wake.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-c.events:
+			c.take(ctx, time.Now(), e)
+		case <-probes.C:
+			c.tick(ctx, time.Now())
+		case <-wake.C:
+			c.advance(ctx, time.Now())
+			pause := probePause
+			if c.busy() {
+				pause = busyPause
+			}
+			wake.Reset(pause)
+			continue
+		}
+		if c.busy() {
+			wake.Reset(busyPause)
+		}
+	}
+}
+
+func (c *control) post(e event) { c.events <- e }
+
+func (c *control) busy() bool {
+	for _, h := range c.held {
+		if h.engine.Usage().Queued > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *control) take(ctx context.Context, now time.Time, e event) {
+	switch e := e.(type) {
+	case listed:
+		c.list(now, e)
+	case read:
+		c.records(now, e.topic, e.batch.Records, e.after)
+		if e.topic == platform.Fleet {
+			c.tail = e.batch.Next
+		}
+	case received:
+		c.packet(ctx, now, e)
+		return
+	case ordered:
+		c.ordered(ctx, now, e)
+		return
+	case looked:
+		c.looked(ctx, now, e)
+		return
+	case claimed:
+		c.claiming = false
+		if e.err != nil {
+			c.logger.Info("claim: not written", zap.Error(e.err))
+		}
+		return
+	case leave:
+		c.leave(ctx, now)
+	}
+	c.settle(now)
+	c.advance(ctx, now)
+}
+
+// list takes all records of a topic.
+func (c *control) list(now time.Time, e listed) {
+	if e.topic == platform.Upstreams {
+		there := make(map[string]bool, len(e.batch.Records))
+		for _, r := range e.batch.Records {
+			there[r.Key] = r.Value != nil
+		}
+		for _, id := range c.roster.IDs() {
+			if !there[id] {
+				c.lapse(now, id, e.after)
+			}
+		}
+	}
+	c.records(now, e.topic, e.batch.Records, e.after)
+	if e.topic == platform.Fleet {
+		c.tail = e.batch.Next
+	}
+}
+
+func (c *control) records(now time.Time, topic platform.Topic, records []platform.Record, after bool) {
+	for _, r := range records {
+		switch topic {
+		case platform.Operator:
+			c.operator(now, r)
+		case platform.Upstreams:
+			c.upstream(now, r, after)
+		case platform.Fleet:
+			c.fleet(now, r)
+		}
+	}
+}
+
+func (c *control) operator(now time.Time, r platform.Record) {
+	change, err := platform.DecodeChange(r)
+	if err != nil {
+		c.metrics.Ignored("operator")
+		c.logger.Warn("config: record is ignored", zap.Int64("offset", r.Offset), zap.Error(err))
+		return
+	}
+	switch change := change.(type) {
+	case platform.NewConfig:
+		next := route.New(change.Config)
+		if route.Newer(c.table, next) == next {
+			c.table = next
+			c.logger.Info("config: in force", zap.Int64("version", next.Version), zap.Int64("offset", r.Offset),
+				zap.Int("routes", len(change.Config.Routes)))
+		}
+	case platform.NewVersion:
+		n := engine.Name{Model: change.Model, Adapter: change.Adapter}
+		if change.Version <= c.versions[n] {
+			return
+		}
+		c.versions[n] = change.Version
+		c.logger.Info("config: adapter version", zap.String("adapter", n.Model+"/"+n.Adapter), zap.Int64("version", change.Version))
+		for _, h := range c.held {
+			h.engine.Version(now, n, change.Version)
+		}
+	}
+}
+
+func (c *control) upstream(now time.Time, r platform.Record, after bool) {
+	if r.Value == nil {
+		c.lapse(now, r.Key, after)
+		return
+	}
+	u, err := platform.DecodeUpstream(r)
+	if err != nil {
+		c.metrics.Ignored("upstreams")
+		c.logger.Info("upstream: entry is ignored", zap.Int64("offset", r.Offset), zap.Error(err))
+		c.lapse(now, r.Key, false)
+		return
+	}
+	change := c.roster.Apply(u)
+	if change == roster.Same {
+		return
+	}
+	c.logger.Info("upstream: "+change.String(), zap.String("upstream", u.ID), zap.String("service", u.Service),
+		zap.Stringer("address", u.Address), zap.Int64("offset", r.Offset), zap.Int64("born", u.Born))
+	if change == roster.Reborn {
+		delete(c.held, u.ID)
+	}
+}
+
+// lapse takes that an upstream's entry is missing.
+func (c *control) lapse(now time.Time, id string, after bool) {
+	grace := time.Duration(0)
+	if after {
+		grace = lapseGrace
+	}
+	if c.roster.Remove(now, id, grace) {
+		c.logger.Info("upstream: entry is missing", zap.String("upstream", id), zap.Duration("grace", grace))
+	}
+}
+
+func (c *control) fleet(now time.Time, r platform.Record) {
+	if name, ok := strings.CutPrefix(r.Key, keyVM); ok {
+		if name == c.self.Name || r.Value == nil {
+			return
+		}
+		var vm gossip.VM
+		if err := json.Unmarshal(r.Value, &vm); err != nil {
+			c.logger.Warn("fleet: record is ignored", zap.String("key", r.Key), zap.Error(err))
+			return
+		}
+		c.gossip.Learn(now, gossip.News{VM: vm})
+		return
+	}
+	var claim fence.Claim
+	if err := json.Unmarshal(r.Value, &claim); err != nil || claim.Engine == "" {
+		c.logger.Warn("fleet: record is ignored", zap.String("key", r.Key), zap.Error(err))
+		return
+	}
+	// Offsets start at 0, fencing tokens at 1.
+	if c.fence.Apply(now, r.Offset+1, claim) {
+		c.logger.Info("claim: in force", zap.String("upstream", claim.Engine), zap.String("vm", claim.VM),
+			zap.Int64("token", r.Offset+1), zap.Bool("free", claim.Free))
+	}
+}
+
+// settle makes what the VM holds and publishes follow from its beliefs.
+func (c *control) settle(now time.Time) {
+	for _, id := range c.roster.Forget(now) {
+		c.logger.Info("upstream: gone", zap.String("upstream", id))
+	}
+	for id, h := range c.held {
+		claim, ok := c.fence.Of(id)
+		u, known := c.roster.Get(id)
+		if !ok || !known || !c.mine(claim) || claim.Token != h.token {
+			c.release(id, h, ok && known)
+			continue
+		}
+		h.upstream = u
+	}
+	for _, u := range c.engineUpstreams() {
+		claim, ok := c.fence.Of(u.ID)
+		if _, held := c.held[u.ID]; !ok || held || !c.mine(claim) {
+			continue
+		}
+		c.hold(now, u, claim)
+	}
+	c.publish()
+}
+
+func (c *control) mine(h fence.Holding) bool {
+	return h.VM == c.self.Name && h.Boot == c.self.Boot && !h.Free
+}
+
+func (c *control) release(id string, h *holder, moved bool) {
+	for ask, to := range h.asked {
+		c.desk.reply(to, newAnswer(ask, engine.Refused{Reason: engine.Closed}))
+	}
+	delete(c.held, id)
+	if !moved && c.drop != nil {
+		c.drop(h.upstream.Address)
+	}
+	c.logger.Info("claim: engine is released", zap.String("upstream", id), zap.Int64("token", h.token))
+}
+
+// Figures of engines that the platform does not tell.
+const (
+	coldLoad    = 270 * time.Millisecond // an adapter from the weight store
+	warmLoad    = 30 * time.Millisecond  // an adapter that the engine held recently
+	recentLoads = 100                    // adapters that an engine keeps for fast loads
+	transit     = 2                      // loads at once; more slow each other down at the weight store
+	reportLag   = 300 * time.Millisecond // age of a report
+)
+
+func (c *control) hold(now time.Time, u roster.Upstream, claim fence.Holding) {
+	e := c.table.Service(u.Service).Engine
+	opens := claim.Opens(c.settings.Bounds.Lease + leaseMargin)
+	config := engine.Config{
+		Batch: e.Batch, Memory: e.Memory, Places: places(e), Transit: transit,
+		Cold: coldLoad, Warm: warmLoad, Recent: recentLoads, Versions: c.settings.Bounds.Versions, Lag: reportLag,
+	}
+	h := &holder{upstream: u, engine: engine.New(config, opens), token: claim.Token, asked: map[string]netip.AddrPort{}}
+	for n, version := range c.versions {
+		h.engine.Version(now, n, version)
+	}
+	c.held[u.ID] = h
+	c.logger.Info("claim: engine is held", zap.String("upstream", u.ID), zap.Int64("token", claim.Token),
+		zap.String("before", claim.Before), zap.Duration("orders", max(opens.Sub(now), 0)))
+}
+
+// places returns the adapters that fit an engine beside its largest model.
+func places(e *route.Engine) int {
+	places := e.Places
+	for _, m := range e.Models {
+		if m.AdapterSize > 0 {
+			places = min(places, int((e.Room-m.Size)/m.AdapterSize))
+		}
+	}
+	return max(places, 0)
+}
+
+// engineUpstreams returns the known upstreams that are model engines.
+func (c *control) engineUpstreams() []roster.Upstream {
+	if c.table == nil {
+		return nil
+	}
+	var list []roster.Upstream
+	for _, id := range c.roster.IDs() {
+		u, _ := c.roster.Get(id)
+		if s := c.table.Service(u.Service); s != nil && s.Engine != nil {
+			list = append(list, u)
+		}
+	}
+	return list
+}
+
+func (c *control) publish() {
+	c.view.Store(&relay.View{Table: c.table, Serving: c.roster.Serving()})
+	known := &holders{vms: map[string]gossip.VM{}, versions: make(map[engine.Name]int64, len(c.versions))}
+	for n, version := range c.versions {
+		known.versions[n] = version
+	}
+	live := map[string]gossip.VM{c.self.Name: c.self}
+	d := &directory{self: c.self, ready: c.table != nil && !c.leaving}
+	if d.ready {
+		d.vms = append(d.vms, c.self)
+	}
+	for _, n := range c.gossip.Known() {
+		if n.Status <= gossip.Leaving {
+			live[n.VM.Name] = n.VM
+		}
+		if n.Status == gossip.Alive {
+			d.vms = append(d.vms, n.VM)
+		}
+	}
+	for _, u := range c.engineUpstreams() {
+		claim, ok := c.fence.Of(u.ID)
+		if vm, lives := live[claim.VM]; ok && lives && vm.Boot == claim.Boot {
+			known.vms[u.ID] = vm
+		}
+	}
+	c.desk.holders.Store(known)
+	c.directory.Store(d)
+}
+
+// tick probes another VM and looks for engines to claim.
+func (c *control) tick(ctx context.Context, now time.Time) {
+	probes, changed := c.gossip.Tick(now)
+	for _, vm := range probes {
+		c.wire.send(vm.Peer, packet{Probe: &probe{From: c.gossip.Self(), News: c.gossip.Share()}})
+	}
+	for _, n := range changed {
+		c.logger.Info("peer: "+n.Status.String(), zap.String("vm", n.VM.Name), zap.Int64("boot", n.VM.Boot))
+	}
+	c.gossip.Forget(now, buryTime)
+	if len(changed) > 0 || now.Sub(c.tried) >= claimPause {
+		c.tried = now
+		c.settle(now)
+		c.claim(ctx, now)
+	}
+}
+
+// claim claims engines whose holder is gone.
+func (c *control) claim(ctx context.Context, now time.Time) {
+	if c.claiming || c.leaving || c.tail < 0 || c.table == nil {
+		return
+	}
+	live := []fence.VM{{Name: c.self.Name, Boot: c.self.Boot}}
+	rank := 0
+	for _, n := range c.gossip.Known() {
+		if n.Status == gossip.Alive {
+			live = append(live, fence.VM{Name: n.VM.Name, Boot: n.VM.Boot})
+			if n.VM.Name < c.self.Name {
+				rank++
+			}
+		}
+	}
+	switch {
+	case now.Sub(c.started) < settleTime+time.Duration(rank)*spread:
+		return
+	case len(live) > 1:
+		c.alone = now
+	case now.Sub(c.alone) < aloneTime && len(c.gossip.Known()) > 0:
+		return
+	}
+	upstreams := c.engineUpstreams()
+	ids := make([]string, len(upstreams))
+	for i, u := range upstreams {
+		ids[i] = u.ID
+	}
+	due := c.fence.Due(live[0], live, ids)
+	if len(due) == 0 {
+		return
+	}
+	c.write(ctx, due, false)
+}
+
+// write appends claims of this VM, on the condition that it has read all
+// others.
+func (c *control) write(ctx context.Context, engines []string, free bool) {
+	j := &claimJob{store: c.store, post: c.post, at: c.tail}
+	for _, id := range engines {
+		value, err := json.Marshal(fence.Claim{Engine: id, VM: c.self.Name, Boot: c.self.Boot, Free: free})
+		if err != nil {
+			c.logger.Error("claim: cannot encode", zap.Error(err))
+			continue
+		}
+		j.records = append(j.records, platform.Record{Key: keyClaim + id, Value: value})
+	}
+	c.claiming = true
+	c.logger.Info("claim: claiming", zap.Strings("upstreams", engines), zap.Int64("at", c.tail), zap.Bool("free", free))
+	go j.run(ctx)
+}
+
+type claimJob struct {
+	store   *platform.Store
+	post    func(event)
+	at      int64
+	records []platform.Record
+}
+
+func (j *claimJob) run(ctx context.Context) {
+	j.post(claimed{err: j.store.Append(ctx, platform.Fleet, j.at, j.records...)})
+}
+
+// leave tells the fleet that this VM goes.
+func (c *control) leave(ctx context.Context, now time.Time) {
+	c.leaving = true
+	c.gossip.Leave()
+	for _, n := range c.gossip.Known() {
+		if n.Status <= gossip.Leaving {
+			c.wire.send(n.VM.Peer, packet{Probe: &probe{From: c.gossip.Self()}})
+		}
+	}
+	var engines []string
+	for id := range c.held {
+		engines = append(engines, id)
+	}
+	slices.Sort(engines)
+	if len(engines) > 0 {
+		c.write(ctx, engines, true)
+	}
+	c.logger.Info("vm: leaving", zap.Int("engines", len(engines)), zap.Duration("after", now.Sub(c.started)))
+}
--- /dev/null
+++ b/internal/edge/desk.go
@@ -0,0 +1,270 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/tanagerlb/tanagerlb/internal/relay"
+	"github.com/tanagerlb/tanagerlb/pkg/engine"
+	"github.com/tanagerlb/tanagerlb/pkg/gossip"
+	"github.com/tanagerlb/tanagerlb/pkg/rank"
+	"github.com/tanagerlb/tanagerlb/pkg/roster"
+)
+
+const (
+	// resend is the time until an ask without an answer is sent again.
+	resend = 50 * time.Millisecond
+	// unheard is the time after which a holder without an answer is passed over.
+	unheard = 160 * time.Millisecond
+	// shun is how long a silent holder is not asked.
+	shun = time.Second
+	// renew is the time between two asks of a request that waits.
+	renew = 250 * time.Millisecond
+	// choices bounds the engines that are asked for one request.
+	choices = 3
+)
+
+// holders is what the desk knows of who schedules which engine.
+type holders struct {
+	vms      map[string]gossip.VM  // by engine
+	versions map[engine.Name]int64 // newest ones, as operators named them
+}
+
+// desk reserves places at engines for the requests of this VM.
+type desk struct {
+	self    gossip.VM
+	wire    *wire
+	post    func(event)
+	logger  *zap.Logger
+	holders atomic.Pointer[holders]
+	serial  atomic.Uint64
+	mu      sync.Mutex
+	pending map[string]chan *answer
+	silent  map[string]time.Time // until when a VM is not asked
+}
+
+func newDesk(self gossip.VM, w *wire, post func(event), logger *zap.Logger) *desk {
+	d := &desk{self: self, wire: w, post: post, logger: logger, pending: map[string]chan *answer{}, silent: map[string]time.Time{}}
+	d.holders.Store(&holders{})
+	return d
+}
+
+// Reserve implements relay.Desk.
+func (d *desk) Reserve(ctx context.Context, a relay.Ask) (*relay.Place, engine.Refused) {
+	known := d.holders.Load()
+	refused := engine.Refused{Reason: engine.Closed, Wait: renew}
+	var best *roster.Upstream
+	least := time.Duration(0)
+	candidates := d.order(a)
+	for i := range candidates {
+		u := &candidates[i]
+		verdict, asked := d.ask(ctx, known, u, a, len(candidates) == 1)
+		if !asked {
+			if place := d.direct(known, u, a); place != nil {
+				return place, refused
+			}
+			continue
+		}
+		switch v := verdict.(type) {
+		case *relay.Place:
+			return v, refused
+		case engine.Refused:
+			refused = v
+			if v.Reason == engine.Busy && (best == nil || v.Wait < least) {
+				best, least = u, v.Wait
+			}
+		}
+	}
+	if best == nil {
+		return nil, refused
+	}
+	verdict, _ := d.ask(ctx, known, best, a, true)
+	switch v := verdict.(type) {
+	case *relay.Place:
+		return v, refused
+	case engine.Refused:
+		return nil, v
+	}
+	return nil, refused
+}
+
+// order returns the engines to ask, the preferred one first. An adapter always
+// prefers the same ones, and a request without an adapter those that know the
+// beginning of its prompt.
+func (d *desk) order(a relay.Ask) []roster.Upstream {
+	byID := make(map[string]roster.Upstream, len(a.Engines))
+	ids := make([]string, 0, len(a.Engines))
+	for _, u := range a.Engines {
+		if !a.Avoid[u.ID] {
+			byID[u.ID] = u
+			ids = append(ids, u.ID)
+		}
+	}
+	key := a.Name.Model + "/" + a.Name.Adapter
+	if a.Name.Adapter == "" && len(a.Parts) > 1 {
+		key += strconv.FormatUint(a.Parts[1].ID, 16)
+	}
+	var order []roster.Upstream
+	for _, id := range rank.Top(key, ids, choices) {
+		order = append(order, byID[id])
+	}
+	return order
+}
+
+// direct returns a place at an engine whose holder does not answer, if the
+// engine has the adapter: nobody else orders it away meanwhile.
+func (d *desk) direct(known *holders, u *roster.Upstream, a relay.Ask) *relay.Place {
+	for _, m := range u.Models {
+		if m.Name != a.Name.Model {
+			continue
+		}
+		if a.Name.Adapter == "" {
+			return d.unreserved(u, 0)
+		}
+		for _, r := range m.Adapters {
+			if r.Name == a.Name.Adapter && r.Version >= known.versions[a.Name] {
+				return d.unreserved(u, r.Version)
+			}
+		}
+	}
+	return nil
+}
+
+func (d *desk) unreserved(u *roster.Upstream, version int64) *relay.Place {
+	return &relay.Place{Upstream: *u, Version: version, Began: func(time.Duration) {}, End: func(engine.Outcome) {}}
+}
+
+// ask asks the holder of an engine, and waits as long as the ask is queued. It
+// returns a *relay.Place or an engine.Refused; false tells that nobody
+// answered.
+func (d *desk) ask(ctx context.Context, known *holders, u *roster.Upstream, a relay.Ask, last bool) (any, bool) {
+	holder, ok := known.vms[u.ID]
+	if !ok || d.shunned(holder.Name) {
+		return nil, false
+	}
+	id := fmt.Sprintf("%x.%x", d.self.Boot, d.serial.Add(1))
+	answers := make(chan *answer, 4)
+	d.mu.Lock()
+	d.pending[id] = answers
+	d.mu.Unlock()
+	defer d.forget(id)
+	sent, heard := time.Now(), false
+	for {
+		now := time.Now()
+		d.deliver(holder, packet{Ask: &ask{
+			Engine: u.ID, ID: id, Model: a.Name.Model, Adapter: a.Name.Adapter, Prompt: a.Prompt, Output: a.Output,
+			Urgency: a.Urgency, Objective: a.Objective.Sub(now), Deadline: a.Deadline.Sub(now), Last: last,
+		}})
+		pause := resend
+		if heard {
+			pause = renew
+		}
+		v, queued := d.await(ctx, answers, pause)
+		switch {
+		case ctx.Err() != nil:
+			d.deliver(holder, packet{End: &end{Engine: u.ID, ID: id}})
+			return engine.Refused{Reason: engine.Hopeless}, true
+		case queued:
+			heard, sent = true, time.Now()
+		case v == nil && time.Since(sent) > unheard+pause:
+			d.logger.Info("desk: holder does not answer", zap.String("holder", holder.Name), zap.String("upstream", u.ID))
+			d.shun(holder.Name)
+			d.deliver(holder, packet{End: &end{Engine: u.ID, ID: id}})
+			return nil, false
+		case v == nil:
+		case v.Granted:
+			return d.place(holder, *u, id, v.Version), true
+		default:
+			return engine.Refused{Reason: v.Reason, Wait: v.Wait}, true
+		}
+	}
+}
+
+// await returns the final answer to an ask, or nil if none came in time.
+func (d *desk) await(ctx context.Context, answers <-chan *answer, pause time.Duration) (final *answer, queued bool) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	for {
+		select {
+		case v := <-answers:
+			if !v.Queued {
+				return v, false
+			}
+			if !queued {
+				queued = true
+				timer.Reset(renew)
+			}
+		case <-timer.C:
+			return nil, queued
+		case <-ctx.Done():
+			return nil, queued
+		}
+	}
+}
+
+func (d *desk) place(holder gossip.VM, u roster.Upstream, id string, version int64) *relay.Place {
+	return &relay.Place{
+		Upstream: u, Version: version,
+		Began: func(after time.Duration) {
+			d.deliver(holder, packet{Began: &began{Engine: u.ID, ID: id, After: after}})
+		},
+		End: func(o engine.Outcome) { d.deliver(holder, packet{End: &end{Engine: u.ID, ID: id, Outcome: o}}) },
+	}
+}
+
+// deliver hands a packet to the holder of an engine, which may be this VM.
+func (d *desk) deliver(holder gossip.VM, p packet) {
+	if holder.Name == d.self.Name {
+		d.post(received{packet: p})
+		return
+	}
+	d.wire.send(holder.Peer, p)
+}
+
+// answered takes a holder's answer.
+func (d *desk) answered(v *answer) {
+	d.mu.Lock()
+	answers := d.pending[v.ID]
+	d.mu.Unlock()
+	if answers == nil {
+		return
+	}
+	select {
+	case answers <- v:
+	default: // repeated answers; the ask is sent again
+	}
+}
+
+func (d *desk) forget(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.pending, id)
+}
+
+func (d *desk) shun(vm string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.silent[vm] = time.Now().Add(shun)
+}
+
+func (d *desk) shunned(vm string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Now().Before(d.silent[vm])
+}
+
+// reply sends an answer to whoever asked.
+func (d *desk) reply(to netip.AddrPort, v *answer) {
+	if !to.IsValid() {
+		d.answered(v)
+		return
+	}
+	d.wire.send(to, packet{Answer: v})
+}
--- /dev/null
+++ b/internal/edge/hold.go
@@ -0,0 +1,165 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/tanagerlb/tanagerlb/pkg/engine"
+	"github.com/tanagerlb/tanagerlb/platform"
+)
+
+// packet takes a packet of another VM, or of this one.
+func (c *control) packet(ctx context.Context, now time.Time, r received) {
+	p := r.packet
+	switch {
+	case p.Probe != nil:
+		c.probe(now, r.from, p.Probe)
+	case p.Answer != nil:
+		c.desk.answered(p.Answer)
+	case p.Ask != nil:
+		c.ask(ctx, now, r.from, p.Ask)
+	case p.Began != nil:
+		if h, ok := c.held[p.Began.Engine]; ok {
+			h.engine.Began(p.Began.ID, p.Began.After)
+			c.next(ctx, now, p.Began.Engine, h)
+		}
+	case p.End != nil:
+		if h, ok := c.held[p.End.Engine]; ok {
+			delete(h.asked, p.End.ID)
+			h.engine.End(now, p.End.ID, p.End.Outcome)
+			c.next(ctx, now, p.End.Engine, h)
+		}
+	}
+}
+
+func (c *control) probe(now time.Time, from netip.AddrPort, p *probe) {
+	changed := c.gossip.Heard(now, p.From)
+	for _, n := range p.News {
+		changed = c.gossip.Learn(now, n) || changed
+	}
+	if !p.Reply {
+		c.wire.send(from, packet{Probe: &probe{From: c.gossip.Self(), News: c.gossip.Share(), Reply: true}})
+	}
+	if changed {
+		c.settle(now)
+	}
+}
+
+func (c *control) ask(ctx context.Context, now time.Time, from netip.AddrPort, a *ask) {
+	h, ok := c.held[a.Engine]
+	if !ok || h.upstream.Draining {
+		c.desk.reply(from, newAnswer(a.ID, engine.Refused{Reason: engine.Closed, Wait: renew}))
+		return
+	}
+	verdict := h.engine.Ask(now, engine.Ask{
+		ID: a.ID, Name: engine.Name{Model: a.Model, Adapter: a.Adapter}, Prompt: a.Prompt, Output: a.Output,
+		Urgency: a.Urgency, Objective: now.Add(a.Objective), Deadline: now.Add(a.Deadline), Last: a.Last,
+	})
+	if _, queued := verdict.(engine.Queued); queued {
+		h.asked[a.ID] = from
+	}
+	c.desk.reply(from, newAnswer(a.ID, verdict))
+	c.next(ctx, now, a.Engine, h)
+}
+
+// advance carries on the scheduling of all engines that this VM holds.
+func (c *control) advance(ctx context.Context, now time.Time) {
+	for id, h := range c.held {
+		c.next(ctx, now, id, h)
+	}
+}
+
+// next carries out what an engine's scheduling decides.
+func (c *control) next(ctx context.Context, now time.Time, id string, h *holder) {
+	for _, a := range h.engine.Next(now) {
+		if a, ok := a.(engine.Answer); ok {
+			c.desk.reply(h.asked[a.ID], newAnswer(a.ID, a.Verdict))
+			delete(h.asked, a.ID)
+			continue
+		}
+		j := &orderJob{
+			engines: c.engines, post: c.post, logger: c.logger, engine: id, at: h.upstream.Address,
+			token: h.token, holder: c.self.Name, action: a,
+		}
+		go j.run(ctx)
+	}
+}
+
+// orderJob carries out an order to an engine, or a look at its report.
+type orderJob struct {
+	engines *platform.Engines
+	post    func(event)
+	logger  *zap.Logger
+	engine  string
+	at      netip.AddrPort
+	token   int64
+	holder  string
+	action  engine.Action
+}
+
+func (j *orderJob) run(ctx context.Context) {
+	order := platform.Order{Holder: j.holder, Fence: j.token}
+	switch a := j.action.(type) {
+	case engine.Look:
+		report, err := j.engines.Report(ctx, j.at, j.engine)
+		j.post(looked{engine: j.engine, token: j.token, report: report, err: err})
+		return
+	case engine.Load:
+		order.Model, order.Adapter, order.Version, order.Accepted = a.Name.Model, a.Name.Adapter, a.Version, a.Accepted
+	case engine.Unload:
+		order.Unload, order.Model, order.Adapter, order.Accepted = true, a.Name.Model, a.Name.Adapter, a.Accepted
+	}
+	holds, err := j.engines.Order(ctx, j.at, j.engine, order)
+	result := engine.Accepted
+	switch {
+	case err != nil:
+		result = engine.Unclear
+	case holds:
+		result = engine.Holds
+	}
+	j.logger.Info("engine: ordered", zap.String("upstream", j.engine), zap.String("adapter", order.Adapter),
+		zap.Bool("unload", order.Unload), zap.Int64("version", order.Version), zap.Int64("accepted", order.Accepted),
+		zap.Int64("token", j.token), zap.Bool("holds", holds), zap.Error(err))
+	j.post(ordered{
+		engine: j.engine, token: j.token, action: j.action, result: result,
+		fenced: errors.Is(err, platform.ErrFenced), moved: errors.Is(err, platform.ErrMoved),
+	})
+}
+
+func (c *control) ordered(ctx context.Context, now time.Time, e ordered) {
+	h, ok := c.held[e.engine]
+	if !ok || h.token != e.token {
+		return
+	}
+	if e.fenced {
+		// Another VM has claimed the engine; its claim is on its way here.
+		h.engine.Stop()
+	}
+	h.engine.Ordered(now, e.action, e.result)
+	c.next(ctx, now, e.engine, h)
+}
+
+func (c *control) looked(ctx context.Context, now time.Time, e looked) {
+	h, ok := c.held[e.engine]
+	if !ok || h.token != e.token {
+		return
+	}
+	if e.err != nil {
+		c.logger.Info("engine: no report", zap.String("upstream", e.engine), zap.Error(e.err))
+		h.engine.Failed(now)
+		return
+	}
+	coming := make([]engine.Name, 0, len(e.report.Coming))
+	for _, text := range e.report.Coming {
+		model, adapter, _ := strings.Cut(text, "/")
+		adapter, _, _ = strings.Cut(adapter, "@")
+		coming = append(coming, engine.Name{Model: model, Adapter: adapter})
+	}
+	h.engine.Reported(now, e.report.Models, coming, e.report.Orders)
+	c.next(ctx, now, e.engine, h)
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -60,6 +60,19 @@
 	s.set.GetOrCreateHistogram("tanagerlb_batch_fill").Update(share)
 }
 
+// Latency records the time from a request to the end of its answer.
+func (s *Set) Latency(kind string, d time.Duration) {
+	s.set.GetOrCreateHistogram(fmt.Sprintf("tanagerlb_request_seconds{kind=%q}", kind)).Update(d.Seconds())
+}
+
+// First records the time from a request to the first event of its stream.
+func (s *Set) First(urgency int, d time.Duration) {
+	s.set.GetOrCreateHistogram(fmt.Sprintf("tanagerlb_first_event_seconds{urgency=\"%d\"}", urgency)).Update(d.Seconds())
+}
+
+// Connected counts a new connection to an upstream.
+func (s *Set) Connected() { s.set.GetOrCreateCounter("tanagerlb_connections_total").Inc() }
+
 // Write writes all metrics in Prometheus text format.
 func (s *Set) Write(w io.Writer) {
 	s.set.WritePrometheus(w)
--- /dev/null
+++ b/internal/relay/desk.go
@@ -0,0 +1,38 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/tanagerlb/tanagerlb/pkg/call"
+	"github.com/tanagerlb/tanagerlb/pkg/engine"
+	"github.com/tanagerlb/tanagerlb/pkg/roster"
+)
+
+// Ask describes a request that needs a place at an engine.
+type Ask struct {
+	Service   string
+	Engines   []roster.Upstream
+	Avoid     map[string]bool // engines that failed the request
+	Name      engine.Name
+	Parts     []call.Part
+	Prompt    int // tokens
+	Output    int // tokens
+	Urgency   int
+	Objective time.Time
+	Deadline  time.Time
+}
+
+// Desk reserves places at engines.
+type Desk interface {
+	// Reserve returns a place, or why there is none. The place must be ended.
+	Reserve(ctx context.Context, a Ask) (*Place, engine.Refused)
+}
+
+// Place is a reserved place at an engine.
+type Place struct {
+	Upstream roster.Upstream
+	Version  int64 // of the adapter
+	Began    func(after time.Duration)
+	End      func(engine.Outcome)
+}
--- /dev/null
+++ b/pkg/engine/engine.go
@@ -0,0 +1,438 @@
+// Package engine provides the scheduling of one model engine by the VM that
+// holds it: which requests may be sent to it, which adapters it loads and
+// unloads, and in which order. All requests reserve a place here first, so the
+// adapters in use, the waiting work and the room are known exactly.
+//
+// The load that it answers: many rare adapters and a few popular ones compete
+// for a few places on each engine, while bursts exceed what the engine can
+// read of prompts in time.
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tanagerlb/tanagerlb/pkg/demand"
+)
+
+// Config sets up an Engine.
+type Config struct {
+	Batch    int           // requests that run at once
+	Memory   int           // tokens
+	Places   int           // adapters that the engine holds at once, those in transit included
+	Transit  int           // adapters that are in transit at once
+	Cold     time.Duration // expected time of a load from the weight store
+	Warm     time.Duration // expected time of a load of an adapter held recently
+	Recent   int           // adapters that were unloaded and still load fast
+	Versions time.Duration // for which an older version of an adapter may still be used
+	Lag      time.Duration // age of what a report says
+}
+
+// Name names an adapter of a model. The adapter is empty for the model itself.
+type Name struct{ Model, Adapter string }
+
+// Ask asks for a place.
+type Ask struct {
+	ID        string
+	Name      Name
+	Prompt    int // tokens
+	Output    int // tokens
+	Urgency   int // 0 is the most urgent
+	Objective time.Time
+	Deadline  time.Time
+	Last      bool // no better place is known; the ask may wait
+}
+
+// Verdict is Granted, Queued or Refused.
+type Verdict interface{ verdict() }
+
+// Granted tells to send the request now.
+type Granted struct{ Version int64 }
+
+// Queued tells that the request has to wait.
+type Queued struct{ Wait time.Duration }
+
+// Refused tells that the request gets no place.
+type Refused struct {
+	Reason Reason
+	Wait   time.Duration // after which a place is likely
+}
+
+func (Granted) verdict() {}
+func (Queued) verdict()  {}
+func (Refused) verdict() {}
+
+// Reason tells why an ask was refused.
+type Reason string
+
+// Reasons for a refusal.
+const (
+	Busy     Reason = "busy"     // another engine is likely faster
+	Hopeless Reason = "hopeless" // the first token would come too late
+	Silent   Reason = "silent"   // the engine has failed lately
+	Closed   Reason = "closed"   // the engine takes no new requests
+)
+
+// Action is Answer, Load, Unload or Look.
+type Action interface{ action() }
+
+// Answer gives the verdict on an ask that was queued.
+type Answer struct {
+	ID      string
+	Verdict Verdict
+}
+
+// Load orders an adapter.
+type Load struct {
+	Name     Name
+	Version  int64 // 0 for the newest
+	Accepted int64 // orders that the engine accepted before
+}
+
+// Unload orders an adapter away.
+type Unload struct {
+	Name     Name
+	Accepted int64 // orders that the engine accepted before
+}
+
+// Look asks for the engine's report.
+type Look struct{}
+
+func (Answer) action() {}
+func (Load) action()   {}
+func (Unload) action() {}
+func (Look) action()   {}
+
+type state int
+
+const (
+	loading state = iota
+	resident
+	leaving
+)
+
+type adapter struct {
+	state   state
+	version int64
+	uses    int       // requests that hold a place for it
+	ready   time.Time // when it is expected to be loaded
+	began   time.Time // when its load was ordered
+	warm    bool
+	stale   time.Time // when a newer version was named; zero if none was
+}
+
+type place struct {
+	Ask
+	granted time.Time
+	begun   bool
+}
+
+// Engine schedules one engine. Its methods must not be called at the same time.
+type Engine struct {
+	config   Config
+	opens    time.Time // when the first order may be given
+	known    bool      // the engine's state was read from a report
+	ordering bool      // an order or a look is under way
+	orders   int64     // that the engine accepted since its start
+	look     time.Time // when the report is due; zero if it is not
+	models   map[string]bool
+	adapters map[Name]*adapter
+	recent   map[Name]time.Time // when an adapter was unloaded
+	newest   map[Name]int64     // versions named by operators
+	meters   map[Name]*demand.Meter
+	places   map[string]*place
+	queue    []*Ask
+	unread   int     // tokens of prompts that were sent and not yet read
+	tokens   int     // tokens that the places may come to hold
+	slow     float64 // observed time to first token, as a multiple of the expected
+	failures int     // in a row
+	until    time.Time
+	trial    string // id of the request that tries a failing engine
+	early    float64
+}
+
+// Figures of the estimates.
+const (
+	// pace is the prompt tokens that an engine reads in a millisecond, before
+	// anything was observed; engines are compared by slow.
+	pace = 20.0
+	// first is the time of a first token beyond the reading of the prompt.
+	first = 60 * time.Millisecond
+	// fill is the share of the memory that places may come to hold; prompts
+	// that share parts take less.
+	fill = 1.0
+	// weight is how much one observation counts in the averages.
+	weight = 0.1
+	// soon is the share of the time to the objective that an ask may wait here
+	// while another engine might be faster.
+	soon = 0.3
+	// late is how many times the time to the objective a first token may take
+	// before an ask is refused.
+	late = 2.0
+	// failing is the number of failures in a row after which an engine is
+	// only tried now and then.
+	failing = 3
+	// pause is the time between two trials of a failing engine.
+	pause = 500 * time.Millisecond
+	// again is the time until an adapter that was not there yet is tried again.
+	again = 60 * time.Millisecond
+	// settle is the share of Config.Versions for which an adapter in use keeps
+	// its old version, so that engines do not all replace it at once.
+	settle = 0.2
+	// slowLeast and slowMost bound one observation of slow.
+	slowLeast, slowMost = 0.3, 20
+	// meterLimit bounds the adapters whose demand is remembered.
+	meterLimit = 20_000
+)
+
+var memory = demand.Config{Half: 8 * time.Second, Young: time.Second}
+
+// New returns an engine of which nothing is known yet. The first order may be
+// given at opens.
+func New(c Config, opens time.Time) *Engine {
+	return &Engine{
+		config: c, opens: opens, slow: 1, early: 1,
+		models: map[string]bool{}, adapters: map[Name]*adapter{}, recent: map[Name]time.Time{},
+		newest: map[Name]int64{}, meters: map[Name]*demand.Meter{}, places: map[string]*place{},
+	}
+}
+
+// Ask asks for a place at now. Asking again under the same id changes nothing
+// and returns how the ask stands.
+func (e *Engine) Ask(now time.Time, a Ask) Verdict {
+	if p, ok := e.places[a.ID]; ok {
+		return Granted{Version: e.version(p.Name)}
+	}
+	wait := e.estimate(now, &a)
+	for _, q := range e.queue {
+		if q.ID == a.ID {
+			return Queued{Wait: wait}
+		}
+	}
+	e.meter(now, a.Name)
+	if e.failures >= failing && (now.Before(e.until) || e.trial != "") {
+		return Refused{Reason: Silent, Wait: max(e.until.Sub(now), 0)}
+	}
+	left := a.Objective.Sub(now)
+	if !a.Last && wait > time.Duration(soon*float64(left)) {
+		return Refused{Reason: Busy, Wait: wait}
+	}
+	if now.Add(wait).After(a.Deadline) || wait > time.Duration(late*float64(max(left, 0))) {
+		return Refused{Reason: Hopeless, Wait: wait}
+	}
+	if e.fits(now, &a) {
+		return e.grant(now, &a)
+	}
+	e.queue = append(e.queue, &a)
+	return Queued{Wait: wait}
+}
+
+func (e *Engine) meter(now time.Time, n Name) {
+	if n.Adapter == "" {
+		return
+	}
+	m, ok := e.meters[n]
+	if !ok {
+		if len(e.meters) >= meterLimit {
+			clear(e.meters)
+		}
+		m = &demand.Meter{}
+		e.meters[n] = m
+	}
+	m.Add(now, memory)
+}
+
+// wait returns the time to the first token of a prompt that is sent now.
+func (e *Engine) wait(prompt int) time.Duration {
+	return time.Duration(e.slow * float64(e.reading(e.unread+prompt)))
+}
+
+// reading returns the time to the first token after the reading of tokens, at
+// an engine of the assumed pace.
+func (e *Engine) reading(tokens int) time.Duration {
+	return first + time.Duration(float64(tokens)/pace*float64(time.Millisecond))
+}
+
+// estimate returns the expected time to the first token of an ask.
+func (e *Engine) estimate(now time.Time, a *Ask) time.Duration {
+	ahead := 0
+	for _, q := range e.queue {
+		if q.ID != a.ID && q.Urgency <= a.Urgency {
+			ahead += q.Prompt
+		}
+	}
+	wait := e.wait(a.Prompt + ahead)
+	if !e.present(now, a.Name) {
+		wait += e.loadWait(now, a.Name)
+	}
+	return wait
+}
+
+// present tells whether requests for an adapter can be sent now.
+func (e *Engine) present(now time.Time, n Name) bool {
+	if !e.known {
+		return false
+	}
+	if n.Adapter == "" {
+		return e.models[n.Model]
+	}
+	r, ok := e.adapters[n]
+	if !ok || r.state == leaving || (r.state == loading && now.Before(r.ready)) {
+		return false
+	}
+	return r.stale.IsZero() || now.Sub(r.stale) < time.Duration(settle*float64(e.config.Versions))
+}
+
+// loadWait returns the expected time until an absent adapter is there.
+func (e *Engine) loadWait(now time.Time, n Name) time.Duration {
+	if r, ok := e.adapters[n]; ok && r.state == loading {
+		return max(r.ready.Sub(now), 0)
+	}
+	wait := max(e.opens.Sub(now), 0)
+	pending := 0
+	for _, r := range e.adapters {
+		if r.state == loading && now.Before(r.ready) {
+			pending++
+		}
+	}
+	for _, q := range e.queue {
+		if _, ok := e.adapters[q.Name]; !ok && q.Name != n {
+			pending++
+		}
+	}
+	own := e.loadTime(now, n)
+	if pending >= e.config.Transit {
+		wait += time.Duration(pending/e.config.Transit) * own
+	}
+	return wait + own
+}
+
+func (e *Engine) loadTime(_ time.Time, n Name) time.Duration {
+	if _, ok := e.recent[n]; ok {
+		return e.config.Warm
+	}
+	return time.Duration(e.early * float64(e.config.Cold))
+}
+
+// fits tells whether an ask can be granted now.
+func (e *Engine) fits(now time.Time, a *Ask) bool {
+	if !e.present(now, a.Name) {
+		return false
+	}
+	if e.failures >= failing && e.trial != "" {
+		return false
+	}
+	if len(e.places) == 0 {
+		return true
+	}
+	return len(e.places) < e.config.Batch &&
+		float64(e.tokens+a.Prompt+a.Output) <= fill*float64(e.config.Memory)
+}
+
+func (e *Engine) grant(now time.Time, a *Ask) Granted {
+	if r, ok := e.adapters[a.Name]; ok {
+		r.uses++
+		r.state = resident
+	}
+	e.places[a.ID] = &place{Ask: *a, granted: now}
+	e.unread += a.Prompt
+	e.tokens += a.Prompt + a.Output
+	if e.failures >= failing {
+		e.trial = a.ID
+	}
+	return Granted{Version: e.version(a.Name)}
+}
+
+func (e *Engine) version(n Name) int64 {
+	if r, ok := e.adapters[n]; ok {
+		return r.version
+	}
+	return 0
+}
+
+// Began takes that the first token of a request came, after the given time
+// since it was sent.
+func (e *Engine) Began(id string, after time.Duration) {
+	p, ok := e.places[id]
+	if !ok || p.begun {
+		return
+	}
+	expected := e.reading(e.unread) // its own prompt and those before it, roughly
+	p.begun = true
+	e.unread -= p.Prompt
+	observed := min(max(float64(after)/float64(expected), slowLeast), slowMost)
+	e.slow += weight * (observed - e.slow)
+	e.works()
+}
+
+// Outcome tells how a request ended.
+type Outcome int
+
+// Outcomes of a request.
+const (
+	Done   Outcome = iota // answered, or given up by its caller
+	Absent                // not run: the engine said that the adapter is not there, or is not free
+	Failed                // the engine broke off, failed or stayed silent
+)
+
+// End takes that a request no longer holds its place.
+func (e *Engine) End(now time.Time, id string, o Outcome) {
+	e.queue = slices.DeleteFunc(e.queue, func(a *Ask) bool { return a.ID == id })
+	p, ok := e.places[id]
+	if !ok {
+		return
+	}
+	e.free(p)
+	switch o {
+	case Done:
+		if p.begun {
+			e.works()
+		}
+	case Absent:
+		e.absent(now, p.Name)
+	case Failed:
+		e.failures++
+		e.until = now.Add(pause)
+		e.look = now.Add(pause / 2)
+	}
+	if e.trial == id {
+		e.trial = ""
+	}
+}
+
+func (e *Engine) works() { e.failures, e.trial = 0, "" }
+
+func (e *Engine) free(p *place) {
+	delete(e.places, p.ID)
+	e.tokens -= p.Prompt + p.Output
+	if !p.begun {
+		e.unread -= p.Prompt
+	}
+	if r, ok := e.adapters[p.Name]; ok {
+		r.uses--
+	}
+}
+
+// absent takes that an adapter was not there when it was expected to be.
+func (e *Engine) absent(now time.Time, n Name) {
+	if r, ok := e.adapters[n]; ok && r.state != leaving {
+		if r.state == resident && now.Sub(r.began) < 2*e.config.Cold && !r.warm {
+			e.early = min(e.early*1.1, 4)
+		}
+		r.state, r.ready = loading, now.Add(again)
+	}
+	if e.look.IsZero() {
+		e.look = now.Add(again / 2)
+	}
+}
+
+// Version takes that an operator named a version of an adapter.
+func (e *Engine) Version(now time.Time, n Name, version int64) {
+	if version <= e.newest[n] {
+		return
+	}
+	e.newest[n] = version
+	if r, ok := e.adapters[n]; ok && r.version < version && r.stale.IsZero() {
+		r.stale = now
+	}
+}
--- /dev/null
+++ b/pkg/engine/next.go
@@ -0,0 +1,313 @@
+package engine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/tanagerlb/tanagerlb/pkg/roster"
+)
+
+// Next returns what is to be done at now. Only one Load, Unload or Look is
+// under way at a time; its end is told by Ordered or Reported.
+func (e *Engine) Next(now time.Time) []Action {
+	e.expire(now)
+	actions := e.serve(now)
+	if e.ordering {
+		return actions
+	}
+	if a := e.order(now); a != nil {
+		e.ordering = true
+		actions = append(actions, a)
+	}
+	return actions
+}
+
+// expire frees the places of requests whose end was not told.
+func (e *Engine) expire(now time.Time) {
+	for id, p := range e.places {
+		if now.Sub(p.Deadline) > time.Second {
+			e.free(e.places[id])
+			if e.trial == id {
+				e.trial = ""
+			}
+		}
+	}
+}
+
+// serve answers the queue, the most urgent asks first, and among these the one
+// that is due first.
+func (e *Engine) serve(now time.Time) []Action {
+	slices.SortStableFunc(e.queue, func(a, b *Ask) int {
+		return cmp.Or(cmp.Compare(a.Urgency, b.Urgency), a.Objective.Compare(b.Objective))
+	})
+	var actions []Action
+	var left []*Ask
+	for _, a := range e.queue {
+		switch {
+		case e.fits(now, a):
+			actions = append(actions, Answer{ID: a.ID, Verdict: e.grant(now, a)})
+		case now.Add(e.wait(a.Prompt)).After(a.Deadline):
+			actions = append(actions, Answer{ID: a.ID, Verdict: Refused{Reason: Hopeless, Wait: e.wait(a.Prompt)}})
+		default:
+			left = append(left, a)
+		}
+	}
+	e.queue = left
+	return actions
+}
+
+// order returns the next order, or nil.
+func (e *Engine) order(now time.Time) Action {
+	if !e.known || (!e.look.IsZero() && !now.Before(e.look)) {
+		e.look = time.Time{}
+		return Look{}
+	}
+	if now.Before(e.opens) || e.failures >= failing {
+		return nil
+	}
+	if n, ok := e.outdated(now); ok {
+		return e.load(now, n)
+	}
+	coming := 0
+	for _, r := range e.adapters {
+		if r.state == loading && now.Before(r.ready) {
+			coming++
+		}
+	}
+	if coming >= e.config.Transit {
+		return nil
+	}
+	for _, a := range e.queue {
+		if _, ok := e.adapters[a.Name]; ok || a.Name.Adapter == "" || !e.models[a.Name.Model] {
+			continue
+		}
+		if len(e.adapters) < e.config.Places {
+			return e.load(now, a.Name)
+		}
+		if victim, ok := e.victim(now); ok {
+			e.adapters[victim].state = leaving
+			return Unload{Name: victim, Accepted: e.orders}
+		}
+		return nil
+	}
+	return nil
+}
+
+// outdated returns an adapter whose newer version can be loaded in its place.
+func (e *Engine) outdated(now time.Time) (Name, bool) {
+	for n, r := range e.adapters {
+		if r.stale.IsZero() || r.state != resident {
+			continue
+		}
+		if r.uses == 0 || now.Sub(r.stale) >= time.Duration(settle*float64(e.config.Versions)) {
+			return n, true
+		}
+	}
+	return Name{}, false
+}
+
+func (e *Engine) load(now time.Time, n Name) Action {
+	took := e.loadTime(now, n)
+	_, warm := e.recent[n]
+	r, ok := e.adapters[n]
+	if !ok {
+		r = &adapter{}
+		e.adapters[n] = r
+	}
+	if ok { // a new version, which comes from the weight store
+		warm, took = false, time.Duration(e.early*float64(e.config.Cold))
+	}
+	delete(e.recent, n)
+	r.state, r.version, r.began, r.warm, r.stale = loading, e.newest[n], now, warm, time.Time{}
+	r.ready = now.Add(took)
+	return Load{Name: n, Version: e.newest[n], Accepted: e.orders}
+}
+
+// victim returns the idle adapter that is least likely to be asked for soon.
+func (e *Engine) victim(now time.Time) (Name, bool) {
+	var best Name
+	found, least := false, 0.0
+	for n, r := range e.adapters {
+		if r.state != resident || r.uses > 0 || e.wanted(n) {
+			continue
+		}
+		rate := 0.0
+		if m, ok := e.meters[n]; ok {
+			rate = m.Rate(now, memory)
+		}
+		if !found || rate < least || (rate == least && n.Adapter < best.Adapter) {
+			best, least, found = n, rate, true
+		}
+	}
+	return best, found
+}
+
+func (e *Engine) wanted(n Name) bool {
+	return slices.ContainsFunc(e.queue, func(a *Ask) bool { return a.Name == n })
+}
+
+// Result tells how an order ended.
+type Result int
+
+// Results of an order.
+const (
+	Accepted Result = iota // it is being carried out
+	Holds                  // what was ordered holds already
+	Unclear                // it may or may not be carried out
+)
+
+// Ordered takes how an order ended, at now.
+func (e *Engine) Ordered(now time.Time, a Action, r Result) {
+	e.ordering = false
+	switch a := a.(type) {
+	case Load:
+		e.loaded(now, a.Name, r)
+	case Unload:
+		e.unloaded(now, a.Name, r)
+	}
+	if r == Unclear {
+		e.look = now.Add(e.config.Lag)
+	}
+}
+
+func (e *Engine) loaded(now time.Time, n Name, r Result) {
+	held, ok := e.adapters[n]
+	if !ok {
+		return
+	}
+	if r == Holds {
+		held.ready = now
+		return
+	}
+	if r == Accepted {
+		e.orders++
+	}
+	held.ready = now.Add(held.ready.Sub(held.began))
+}
+
+func (e *Engine) unloaded(now time.Time, n Name, r Result) {
+	if r == Unclear {
+		if held, ok := e.adapters[n]; ok {
+			held.state = resident
+		}
+		return
+	}
+	e.orders++
+	if r == Accepted { // it waits for requests that this VM does not know of
+		e.look = now.Add(e.config.Lag)
+		return
+	}
+	delete(e.adapters, n)
+	if len(e.recent) >= e.config.Recent {
+		e.dropOldest()
+	}
+	e.recent[n] = now
+}
+
+func (e *Engine) dropOldest() {
+	var oldest Name
+	var at time.Time
+	for n, t := range e.recent {
+		if at.IsZero() || t.Before(at) {
+			oldest, at = n, t
+		}
+	}
+	delete(e.recent, oldest)
+}
+
+// Failed takes that a look got no answer.
+func (e *Engine) Failed(now time.Time) {
+	e.ordering = false
+	e.look = now.Add(e.config.Lag)
+}
+
+// Reported takes the engine's report, as it was some time ago.
+// A report from before an accepted order is not used.
+func (e *Engine) Reported(now time.Time, models []roster.Model, coming []Name, orders int64) {
+	e.ordering = false
+	if e.known && orders < e.orders {
+		e.look = now.Add(e.config.Lag)
+		return
+	}
+	e.known, e.orders, e.look = true, orders, time.Time{}
+	clear(e.models)
+	seen := map[Name]bool{}
+	for _, m := range models {
+		e.models[m.Name] = true
+		for _, a := range m.Adapters {
+			n := Name{Model: m.Name, Adapter: a.Name}
+			seen[n] = true
+			e.holds(now, n, a.Version)
+		}
+	}
+	for _, n := range coming {
+		seen[n] = true
+		r, ok := e.adapters[n]
+		if !ok {
+			r = &adapter{began: now}
+			e.adapters[n] = r
+		}
+		if !now.Before(r.ready) {
+			r.state, r.ready = loading, now.Add(again)
+		}
+	}
+	for n, r := range e.adapters {
+		if !seen[n] && now.Sub(r.began) > e.config.Lag {
+			delete(e.adapters, n)
+			if r.state == leaving {
+				e.recent[n] = now
+			}
+		}
+	}
+	if len(e.models) == 0 || len(coming) > 0 {
+		e.look = now.Add(e.config.Lag)
+	}
+}
+
+// holds takes that the engine reported an adapter.
+func (e *Engine) holds(now time.Time, n Name, version int64) {
+	r, ok := e.adapters[n]
+	if !ok {
+		r = &adapter{uses: e.uses(n)}
+		e.adapters[n] = r
+	}
+	if r.state == leaving {
+		return
+	}
+	if r.state == loading && now.Sub(r.began) < e.config.Lag && version < r.version {
+		return // the report is older than the order
+	}
+	r.state, r.version = resident, version
+	if version < e.newest[n] && r.stale.IsZero() {
+		r.stale = now
+	}
+}
+
+func (e *Engine) uses(n Name) int {
+	uses := 0
+	for _, p := range e.places {
+		if p.Name == n {
+			uses++
+		}
+	}
+	return uses
+}
+
+// Usage tells how busy an engine is.
+type Usage struct {
+	Running, Queued, Adapters int
+	Wait                      time.Duration // expected time to the first token of a short prompt
+}
+
+// Usage returns how busy the engine is.
+func (e *Engine) Usage() Usage {
+	return Usage{Running: len(e.places), Queued: len(e.queue), Adapters: len(e.adapters), Wait: e.wait(0)}
+}
+
+// Stop takes that the engine accepts no orders of this VM any more. Requests
+// for what it holds are still granted.
+func (e *Engine) Stop() { e.opens = e.opens.Add(forever) }
+
+// forever is longer than any process runs.
+const forever = 100 * 365 * 24 * time.Hour
