fix(engine): give no order while the last one's outcome is unknown

Cause: an unload that was refused with 409 was tried again at once, since a replacement of an adapter in use blocks all orders until its runs end.

--- a/internal/edge/desk.go
+++ b/internal/edge/desk.go
@@ -160,7 +160,7 @@
 		now := time.Now()
 		d.deliver(holder, packet{Ask: &ask{
 			Engine: u.ID, ID: id, Model: a.Name.Model, Adapter: a.Name.Adapter, Prompt: a.Prompt, Output: a.Output,
-			Urgency: a.Urgency, Objective: a.Objective.Sub(now), Deadline: a.Deadline.Sub(now), Last: last,
+			Urgency: a.Urgency, Objective: a.Objective.Sub(now), Latest: a.Latest.Sub(now), Deadline: a.Deadline.Sub(now), Last: last,
 		}})
 		pause := resend
 		if heard {
--- a/internal/edge/hold.go
+++ b/internal/edge/hold.go
@@ -58,7 +58,7 @@
 	}
 	verdict := h.engine.Ask(now, engine.Ask{
 		ID: a.ID, Name: engine.Name{Model: a.Model, Adapter: a.Adapter}, Prompt: a.Prompt, Output: a.Output,
-		Urgency: a.Urgency, Objective: now.Add(a.Objective), Deadline: now.Add(a.Deadline), Last: a.Last,
+		Urgency: a.Urgency, Objective: now.Add(a.Objective), Latest: now.Add(a.Latest), Deadline: now.Add(a.Deadline), Last: a.Last,
 	})
 	if _, queued := verdict.(engine.Queued); queued {
 		h.asked[a.ID] = from
@@ -117,6 +117,8 @@
 	holds, err := j.engines.Order(ctx, j.at, j.engine, order)
 	result := engine.Accepted
 	switch {
+	case errors.Is(err, platform.ErrBusy), errors.Is(err, platform.ErrFenced), errors.Is(err, platform.ErrMoved), errors.Is(err, platform.ErrRejected):
+		result = engine.Rejected
 	case err != nil:
 		result = engine.Unclear
 	case holds:
--- a/internal/edge/packet.go
+++ b/internal/edge/packet.go
@@ -40,6 +40,7 @@
 	Output    int           `msgpack:"o"`
 	Urgency   int           `msgpack:"u,omitempty"`
 	Objective time.Duration `msgpack:"t"`
+	Latest    time.Duration `msgpack:"n"`
 	Deadline  time.Duration `msgpack:"d"`
 	Last      bool          `msgpack:"l,omitempty"`
 }
--- a/internal/relay/desk.go
+++ b/internal/relay/desk.go
@@ -19,8 +19,9 @@
 	Prompt    int // tokens
 	Output    int // tokens
 	Urgency   int
-	Objective time.Time
-	Deadline  time.Time
+	Objective time.Time // when the first event is due
+	Latest    time.Time // when a first event is of no more use
+	Deadline  time.Time // when the whole answer is of no more use
 }
 
 // Desk reserves places at engines.
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -20,9 +20,6 @@
 const (
 	// wholeBytes bounds an answer that is passed on whole.
 	wholeBytes = 8 << 20
-	// fresh is how recently a kept connection must have been used to carry a
-	// request that runs at most once: upstreams drop idle connections.
-	fresh = time.Second
 	// hedge is the multiple of a safe request's objective after which a silent
 	// upstream is given up.
 	hedge = 2
@@ -97,9 +94,6 @@
 		defer cancel()
 	}
 	request := x.outbound(platform.Send{Upstream: u.ID, Left: time.Until(x.deadline)})
-	if x.route.Kind != route.Safe {
-		request.Fresh = fresh
-	}
 	e, err := x.config.Links.Do(ctx, u.Address, request)
 	if err != nil {
 		return result{outcome: health.Failed, reason: err.Error(), notRun: errors.Is(err, link.ErrUnsent), status: http.StatusBadGateway}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -15,6 +15,10 @@
 	"github.com/tanagerlb/tanagerlb/platform"
 )
 
+// late is the multiple of a stream's objective after which a first event is of
+// no more use: callers give up a stream that is silent for so long.
+const late = 2
+
 // eventBytes bounds one event of a stream.
 const eventBytes = 256 << 10
 
@@ -55,8 +59,15 @@
 		Service: x.service.Name, Engines: x.view.Serving[x.service.Name], Avoid: avoid,
 		Name: engine.Name{Model: x.call.Model, Adapter: x.call.Adapter}, Parts: x.call.Parts,
 		Prompt: x.call.Prompt, Output: x.call.Output, Urgency: x.route.Urgency,
-		Objective: x.started.Add(objective), Deadline: x.deadline,
+		Objective: x.started.Add(objective), Latest: earlier(x.started.Add(late*objective), x.deadline), Deadline: x.deadline,
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
+	return b
 }
 
 // attempt sends the request to the engine with the place. It tells whether the
@@ -69,7 +80,6 @@
 		Urgency: x.route.Urgency, Ranked: true, Resume: x.lastID,
 	}
 	request := x.outbound(send)
-	request.Fresh = fresh
 	e, err := x.config.Links.Do(x.ctx, place.Upstream.Address, request)
 	if err != nil {
 		return x.unanswered(place, err)
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -35,12 +35,13 @@
 type Ask struct {
 	ID        string
 	Name      Name
-	Prompt    int // tokens
-	Output    int // tokens
-	Urgency   int // 0 is the most urgent
-	Objective time.Time
-	Deadline  time.Time
-	Last      bool // no better place is known; the ask may wait
+	Prompt    int       // tokens
+	Output    int       // tokens
+	Urgency   int       // 0 is the most urgent
+	Objective time.Time // when the first token is due
+	Latest    time.Time // when a first token is of no more use
+	Deadline  time.Time // when the whole answer is of no more use
+	Last      bool      // no better place is known; the ask may wait
 }
 
 // Verdict is Granted, Queued or Refused.
@@ -118,6 +119,7 @@
 	ready   time.Time // when it is expected to be loaded
 	began   time.Time // when its load was ordered
 	warm    bool
+	proved  bool      // a request ran on it
 	stale   time.Time // when a newer version was named; zero if none was
 }
 
@@ -147,8 +149,9 @@
 	slow     float64 // observed time to first token, as a multiple of the expected
 	failures int     // in a row
 	until    time.Time
-	trial    string // id of the request that tries a failing engine
-	early    float64
+	trial    string  // id of the request that tries a failing engine
+	early    float64 // time of a load from the weight store, as a multiple of the expected
+	unsure   bool    // an order may or may not have been accepted; the next look tells
 }
 
 // Figures of the estimates.
@@ -166,9 +169,6 @@
 	// soon is the share of the time to the objective that an ask may wait here
 	// while another engine might be faster.
 	soon = 0.3
-	// late is how many times the time to the objective a first token may take
-	// before an ask is refused.
-	late = 2.0
 	// failing is the number of failures in a row after which an engine is
 	// only tried now and then.
 	failing = 3
@@ -181,6 +181,10 @@
 	settle = 0.2
 	// slowLeast and slowMost bound one observation of slow.
 	slowLeast, slowMost = 0.3, 20
+	// earlyFirst is what early starts at: engines that all start empty load at
+	// once. It rises with each load that took longer than expected, and falls
+	// with each that did not.
+	earlyFirst, earlyUp, earlyDown, earlyMost = 1.5, 1.15, 0.98, 4.0
 	// meterLimit bounds the adapters whose demand is remembered.
 	meterLimit = 20_000
 )
@@ -191,7 +195,7 @@
 // given at opens.
 func New(c Config, opens time.Time) *Engine {
 	return &Engine{
-		config: c, opens: opens, slow: 1, early: 1,
+		config: c, opens: opens, slow: 1, early: earlyFirst,
 		models: map[string]bool{}, adapters: map[Name]*adapter{}, recent: map[Name]time.Time{},
 		newest: map[Name]int64{}, meters: map[Name]*demand.Meter{}, places: map[string]*place{},
 	}
@@ -217,7 +221,7 @@
 	if !a.Last && wait > time.Duration(soon*float64(left)) {
 		return Refused{Reason: Busy, Wait: wait}
 	}
-	if now.Add(wait).After(a.Deadline) || wait > time.Duration(late*float64(max(left, 0))) {
+	if now.Add(wait).After(a.Latest) {
 		return Refused{Reason: Hopeless, Wait: wait}
 	}
 	if e.fits(now, &a) {
@@ -388,6 +392,10 @@
 		if p.begun {
 			e.works()
 		}
+		if r, ok := e.adapters[p.Name]; ok && p.begun && !r.warm && !r.proved {
+			r.proved = true
+			e.early = max(e.early*earlyDown, 1)
+		}
 	case Absent:
 		e.absent(now, p.Name)
 	case Failed:
@@ -417,7 +425,7 @@
 func (e *Engine) absent(now time.Time, n Name) {
 	if r, ok := e.adapters[n]; ok && r.state != leaving {
 		if r.state == resident && now.Sub(r.began) < 2*e.config.Cold && !r.warm {
-			e.early = min(e.early*1.1, 4)
+			e.early = min(e.early*earlyUp, earlyMost)
 		}
 		r.state, r.ready = loading, now.Add(again)
 	}
--- a/pkg/engine/next.go
+++ b/pkg/engine/next.go
@@ -47,7 +47,7 @@
 		switch {
 		case e.fits(now, a):
 			actions = append(actions, Answer{ID: a.ID, Verdict: e.grant(now, a)})
-		case now.Add(e.wait(a.Prompt)).After(a.Deadline):
+		case now.Add(e.wait(a.Prompt)).After(a.Latest):
 			actions = append(actions, Answer{ID: a.ID, Verdict: Refused{Reason: Hopeless, Wait: e.wait(a.Prompt)}})
 		default:
 			left = append(left, a)
@@ -63,10 +63,10 @@
 		e.look = time.Time{}
 		return Look{}
 	}
-	if now.Before(e.opens) || e.failures >= failing {
+	if now.Before(e.opens) || e.failures >= failing || e.unsure {
 		return nil
 	}
-	if n, ok := e.outdated(now); ok {
+	if n, ok := e.outdated(); ok {
 		return e.load(now, n)
 	}
 	coming := 0
@@ -95,12 +95,10 @@
 }
 
 // outdated returns an adapter whose newer version can be loaded in its place.
-func (e *Engine) outdated(now time.Time) (Name, bool) {
+func (e *Engine) outdated() (Name, bool) {
 	for n, r := range e.adapters {
-		if r.stale.IsZero() || r.state != resident {
-			continue
-		}
-		if r.uses == 0 || now.Sub(r.stale) >= time.Duration(settle*float64(e.config.Versions)) {
+		// While a replacement waits for runs, the engine takes no other order.
+		if !r.stale.IsZero() && r.state == resident && r.uses == 0 {
 			return n, true
 		}
 	}
@@ -119,7 +117,7 @@
 		warm, took = false, time.Duration(e.early*float64(e.config.Cold))
 	}
 	delete(e.recent, n)
-	r.state, r.version, r.began, r.warm, r.stale = loading, e.newest[n], now, warm, time.Time{}
+	*r = adapter{version: e.newest[n], began: now, warm: warm}
 	r.ready = now.Add(took)
 	return Load{Name: n, Version: e.newest[n], Accepted: e.orders}
 }
@@ -154,6 +152,7 @@
 const (
 	Accepted Result = iota // it is being carried out
 	Holds                  // what was ordered holds already
+	Rejected               // it will not be carried out
 	Unclear                // it may or may not be carried out
 )
 
@@ -166,8 +165,8 @@
 	case Unload:
 		e.unloaded(now, a.Name, r)
 	}
-	if r == Unclear {
-		e.look = now.Add(e.config.Lag)
+	if r == Unclear || r == Rejected {
+		e.look, e.unsure = now.Add(e.config.Lag), true
 	}
 }
 
@@ -180,6 +179,10 @@
 		held.ready = now
 		return
 	}
+	if r == Rejected {
+		delete(e.adapters, n)
+		return
+	}
 	if r == Accepted {
 		e.orders++
 	}
@@ -187,7 +190,7 @@
 }
 
 func (e *Engine) unloaded(now time.Time, n Name, r Result) {
-	if r == Unclear {
+	if r == Unclear || r == Rejected {
 		if held, ok := e.adapters[n]; ok {
 			held.state = resident
 		}
@@ -230,7 +233,7 @@
 		e.look = now.Add(e.config.Lag)
 		return
 	}
-	e.known, e.orders, e.look = true, orders, time.Time{}
+	e.known, e.unsure, e.orders, e.look = true, false, orders, time.Time{}
 	clear(e.models)
 	seen := map[Name]bool{}
 	for _, m := range models {
