--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -16,6 +16,7 @@
 	"github.com/tanagerlb/tanagerlb/pkg/engine"
 	"github.com/tanagerlb/tanagerlb/pkg/fence"
 	"github.com/tanagerlb/tanagerlb/pkg/gossip"
+	"github.com/tanagerlb/tanagerlb/pkg/rank"
 	"github.com/tanagerlb/tanagerlb/pkg/roster"
 	"github.com/tanagerlb/tanagerlb/pkg/route"
 	"github.com/tanagerlb/tanagerlb/platform"
@@ -170,7 +171,7 @@
 
 func (c *control) busy() bool {
 	for _, h := range c.held {
-		if h.engine.Usage().Queued > 0 {
+		if h.engine.Queued() > 0 {
 			return true
 		}
 	}
@@ -368,6 +369,7 @@
 
 // Figures of engines that the platform does not tell.
 const (
+	modelLoad   = time.Second            // a base model
 	coldLoad    = 270 * time.Millisecond // an adapter from the weight store
 	warmLoad    = 30 * time.Millisecond  // an adapter that the engine held recently
 	recentLoads = 100                    // adapters that an engine keeps for fast loads
@@ -380,7 +382,7 @@
 	opens := claim.Opens(c.settings.Bounds.Lease + leaseMargin)
 	config := engine.Config{
 		Batch: e.Batch, Memory: e.Memory, Places: places(e), Transit: transit,
-		Cold: coldLoad, Warm: warmLoad, Recent: recentLoads, Versions: c.settings.Bounds.Versions, Lag: reportLag,
+		Models: models(u.ID, e), Model: modelLoad, Cold: coldLoad, Warm: warmLoad, Recent: recentLoads, Versions: c.settings.Bounds.Versions, Lag: reportLag,
 	}
 	h := &holder{upstream: u, engine: engine.New(config, opens), token: claim.Token, asked: map[string]netip.AddrPort{}}
 	for n, version := range c.versions {
@@ -391,6 +393,15 @@
 		zap.String("before", claim.Before), zap.Duration("orders", max(opens.Sub(now), 0)))
 }
 
+// models returns the base models of an engine, each first on some engines.
+func models(id string, e *route.Engine) []string {
+	names := make([]string, len(e.Models))
+	for i, m := range e.Models {
+		names[i] = m.Name
+	}
+	return rank.Order(id, names)
+}
+
 // places returns the adapters that fit an engine beside its largest model.
 func places(e *route.Engine) int {
 	places := e.Places
@@ -469,17 +480,17 @@
 		return
 	}
 	live := []fence.VM{{Name: c.self.Name, Boot: c.self.Boot}}
-	rank := 0
+	before := 0 // VMs before this one in the order of names
 	for _, n := range c.gossip.Known() {
 		if n.Status == gossip.Alive {
 			live = append(live, fence.VM{Name: n.VM.Name, Boot: n.VM.Boot})
 			if n.VM.Name < c.self.Name {
-				rank++
+				before++
 			}
 		}
 	}
 	switch {
-	case now.Sub(c.started) < settleTime+time.Duration(rank)*spread:
+	case now.Sub(c.started) < settleTime+time.Duration(before)*spread:
 		return
 	case len(live) > 1:
 		c.alone = now
--- a/internal/edge/desk.go
+++ b/internal/edge/desk.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -48,53 +49,117 @@
 	mu      sync.Mutex
 	pending map[string]chan *answer
 	silent  map[string]time.Time // until when a VM is not asked
+	waits   map[string]heard     // by engine, as holders said it last
 }
 
+// heard is a time to the first token that a holder told.
+type heard struct {
+	wait time.Duration
+	at   time.Time
+}
+
+// fresh is the age up to which a time that a holder told counts.
+const fresh = time.Second
+
 func newDesk(self gossip.VM, w *wire, post func(event), logger *zap.Logger) *desk {
-	d := &desk{self: self, wire: w, post: post, logger: logger, pending: map[string]chan *answer{}, silent: map[string]time.Time{}}
+	d := &desk{self: self, wire: w, post: post, logger: logger, pending: map[string]chan *answer{}, silent: map[string]time.Time{}, waits: map[string]heard{}}
 	d.holders.Store(&holders{})
 	return d
 }
 
+// reservation collects what the holders say about one request.
+type reservation struct {
+	*desk
+	known *holders
+	ask   relay.Ask
+	asked []string
+}
+
 // Reserve implements relay.Desk.
-func (d *desk) Reserve(ctx context.Context, a relay.Ask) (*relay.Place, engine.Refused) {
-	known := d.holders.Load()
+func (d *desk) Reserve(ctx context.Context, a relay.Ask) relay.Reservation {
+	r := &reservation{desk: d, known: d.holders.Load(), ask: a}
+	place, refused := r.place(ctx)
+	return relay.Reservation{Place: place, Refused: refused, Asked: r.asked}
+}
+
+// place asks the holders of the preferred engines in turn. If each knows that
+// another engine is likely faster, the fastest one is told to decide.
+func (r *reservation) place(ctx context.Context) (*relay.Place, engine.Refused) {
 	refused := engine.Refused{Reason: engine.Closed, Wait: renew}
 	var best *roster.Upstream
 	least := time.Duration(0)
-	candidates := d.order(a)
+	candidates := r.order(r.ask)
 	for i := range candidates {
 		u := &candidates[i]
-		verdict, asked := d.ask(ctx, known, u, a, len(candidates) == 1)
-		if !asked {
-			if place := d.direct(known, u, a); place != nil {
+		v := r.say(ctx, u, len(candidates) == 1)
+		switch {
+		case v == nil:
+			if place := r.direct(r.known, u, r.ask); place != nil {
 				return place, refused
 			}
-			continue
-		}
-		switch v := verdict.(type) {
-		case *relay.Place:
-			return v, refused
-		case engine.Refused:
-			refused = v
-			if v.Reason == engine.Busy && (best == nil || v.Wait < least) {
-				best, least = u, v.Wait
+		case v.place != nil:
+			return v.place, refused
+		default:
+			refused = v.refused
+			if refused.Reason == engine.Busy && (best == nil || refused.Wait < least) {
+				best, least = u, refused.Wait
 			}
 		}
 	}
 	if best == nil {
 		return nil, refused
 	}
-	verdict, _ := d.ask(ctx, known, best, a, true)
-	switch v := verdict.(type) {
-	case *relay.Place:
-		return v, refused
-	case engine.Refused:
-		return nil, v
+	if u := r.idlest(candidates, least); u != nil {
+		if v := r.say(ctx, u, false); v != nil && v.place != nil {
+			return v.place, refused
+		} else if v != nil && v.refused.Reason == engine.Busy && v.refused.Wait < least {
+			best = u
+		}
+	}
+	if v := r.say(ctx, best, true); v != nil {
+		return v.place, v.refused
 	}
 	return nil, refused
 }
 
+// idlest returns the engine with the shortest wait that was told lately, if it
+// is shorter than that of the candidates, none of which it is.
+func (r *reservation) idlest(candidates []roster.Upstream, least time.Duration) *roster.Upstream {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var best *roster.Upstream
+	for i := range r.ask.Engines {
+		u := &r.ask.Engines[i]
+		h, ok := r.waits[u.ID]
+		asked := slices.ContainsFunc(candidates, func(c roster.Upstream) bool { return c.ID == u.ID })
+		if ok && !asked && !r.ask.Avoid[u.ID] && now.Sub(h.at) < fresh && h.wait < least/2 {
+			best, least = u, 2*h.wait
+		}
+	}
+	return best
+}
+
+// say asks the holder of an engine and notes what it says.
+func (r *reservation) say(ctx context.Context, u *roster.Upstream, last bool) *verdict {
+	v := r.request(ctx, r.known, u, r.ask, last)
+	switch {
+	case v == nil:
+		r.asked = append(r.asked, u.ID+" silent")
+	case v.place != nil:
+		r.asked = append(r.asked, u.ID+" granted")
+	default:
+		r.asked = append(r.asked, fmt.Sprintf("%s %s %s", u.ID, v.refused.Reason, v.refused.Wait.Round(time.Millisecond)))
+	}
+	return v
+}
+
+// verdict is a holder's final answer: a place, or why there is none.
+type verdict struct {
+	place   *relay.Place
+	refused engine.Refused
+}
+
 // order returns the engines to ask, the preferred one first. An adapter always
 // prefers the same ones, and a request without an adapter those that know the
 // beginning of its prompt.
@@ -141,13 +206,12 @@
 	return &relay.Place{Upstream: *u, Version: version, Began: func(time.Duration) {}, End: func(engine.Outcome) {}}
 }
 
-// ask asks the holder of an engine, and waits as long as the ask is queued. It
-// returns a *relay.Place or an engine.Refused; false tells that nobody
-// answered.
-func (d *desk) ask(ctx context.Context, known *holders, u *roster.Upstream, a relay.Ask, last bool) (any, bool) {
+// request asks the holder of an engine, and waits as long as the ask is queued.
+// It returns nil if nobody answers.
+func (d *desk) request(ctx context.Context, known *holders, u *roster.Upstream, a relay.Ask, last bool) *verdict {
 	holder, ok := known.vms[u.ID]
 	if !ok || d.shunned(holder.Name) {
-		return nil, false
+		return nil
 	}
 	id := fmt.Sprintf("%x.%x", d.self.Boot, d.serial.Add(1))
 	answers := make(chan *answer, 4)
@@ -161,6 +225,7 @@
 		d.deliver(holder, packet{Ask: &ask{
 			Engine: u.ID, ID: id, Model: a.Name.Model, Adapter: a.Name.Adapter, Prompt: a.Prompt, Output: a.Output,
 			Urgency: a.Urgency, Objective: a.Objective.Sub(now), Latest: a.Latest.Sub(now), Deadline: a.Deadline.Sub(now), Last: last,
+			Newest: known.versions[a.Name],
 		}})
 		pause := resend
 		if heard {
@@ -170,19 +235,19 @@
 		switch {
 		case ctx.Err() != nil:
 			d.deliver(holder, packet{End: &end{Engine: u.ID, ID: id}})
-			return engine.Refused{Reason: engine.Hopeless}, true
+			return &verdict{refused: engine.Refused{Reason: engine.Hopeless}}
 		case queued:
 			heard, sent = true, time.Now()
 		case v == nil && time.Since(sent) > unheard+pause:
 			d.logger.Info("desk: holder does not answer", zap.String("holder", holder.Name), zap.String("upstream", u.ID))
 			d.shun(holder.Name)
 			d.deliver(holder, packet{End: &end{Engine: u.ID, ID: id}})
-			return nil, false
+			return nil
 		case v == nil:
 		case v.Granted:
-			return d.place(holder, *u, id, v.Version), true
+			return &verdict{place: d.granted(holder, *u, id, v.Version)}
 		default:
-			return engine.Refused{Reason: v.Reason, Wait: v.Wait}, true
+			return &verdict{refused: engine.Refused{Reason: v.Reason, Wait: v.Wait}}
 		}
 	}
 }
@@ -209,7 +274,7 @@
 	}
 }
 
-func (d *desk) place(holder gossip.VM, u roster.Upstream, id string, version int64) *relay.Place {
+func (d *desk) granted(holder gossip.VM, u roster.Upstream, id string, version int64) *relay.Place {
 	return &relay.Place{
 		Upstream: u, Version: version,
 		Began: func(after time.Duration) {
@@ -232,6 +297,9 @@
 func (d *desk) answered(v *answer) {
 	d.mu.Lock()
 	answers := d.pending[v.ID]
+	if v.Engine != "" {
+		d.waits[v.Engine] = heard{wait: v.Idle, at: time.Now()}
+	}
 	d.mu.Unlock()
 	if answers == nil {
 		return
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -29,7 +29,7 @@
 // Times and sizes of the interfaces.
 const (
 	storeTimeout  = 700 * time.Millisecond // of a call of the store
-	orderTimeout  = 600 * time.Millisecond // of an order to an engine
+	orderTimeout  = 150 * time.Millisecond // of an order to an engine, some round trips and a pause of the VM
 	longPoll      = 20 * time.Second       // for new records of operators and the fleet
 	rosterPause   = 700 * time.Millisecond // between reads of the upstreams' entries, within the bound for leaving ones
 	dialTimeout   = 400 * time.Millisecond // for a connection to an upstream, some round trips
--- a/internal/edge/hold.go
+++ b/internal/edge/hold.go
@@ -26,6 +26,11 @@
 	case p.Began != nil:
 		if h, ok := c.held[p.Began.Engine]; ok {
 			h.engine.Began(p.Began.ID, p.Began.After)
+			if u := h.engine.Usage(now); c.logger.Core().Enabled(zap.DebugLevel) {
+				c.logger.Debug("engine: first token", zap.String("upstream", p.Began.Engine), zap.Duration("after", p.Began.After),
+					zap.Int("running", u.Running), zap.Int("queued", u.Queued), zap.Int("adapters", u.Adapters),
+					zap.Int("used", u.Used), zap.Int("coming", u.Coming), zap.Int("blocked", u.Blocked), zap.Int("unread", u.Unread), zap.Float64("slow", u.Slow))
+			}
 			c.next(ctx, now, p.Began.Engine, h)
 		}
 	case p.End != nil:
@@ -56,14 +61,18 @@
 		c.desk.reply(from, newAnswer(a.ID, engine.Refused{Reason: engine.Closed, Wait: renew}))
 		return
 	}
+	name := engine.Name{Model: a.Model, Adapter: a.Adapter}
+	h.engine.Version(now, name, a.Newest)
 	verdict := h.engine.Ask(now, engine.Ask{
-		ID: a.ID, Name: engine.Name{Model: a.Model, Adapter: a.Adapter}, Prompt: a.Prompt, Output: a.Output,
+		ID: a.ID, Name: name, Prompt: a.Prompt, Output: a.Output,
 		Urgency: a.Urgency, Objective: now.Add(a.Objective), Latest: now.Add(a.Latest), Deadline: now.Add(a.Deadline), Last: a.Last,
 	})
 	if _, queued := verdict.(engine.Queued); queued {
 		h.asked[a.ID] = from
 	}
-	c.desk.reply(from, newAnswer(a.ID, verdict))
+	said := newAnswer(a.ID, verdict)
+	said.Engine, said.Idle = a.Engine, h.engine.Usage(now).Wait
+	c.desk.reply(from, said)
 	c.next(ctx, now, a.Engine, h)
 }
 
--- a/internal/edge/packet.go
+++ b/internal/edge/packet.go
@@ -43,6 +43,7 @@
 	Latest    time.Duration `msgpack:"n"`
 	Deadline  time.Duration `msgpack:"d"`
 	Last      bool          `msgpack:"l,omitempty"`
+	Newest    int64         `msgpack:"v,omitempty"` // version of the adapter that the asking VM knows of
 }
 
 type answer struct {
@@ -52,6 +53,8 @@
 	Version int64         `msgpack:"v,omitempty"`
 	Reason  engine.Reason `msgpack:"r,omitempty"`
 	Wait    time.Duration `msgpack:"w,omitempty"`
+	Engine  string        `msgpack:"e,omitempty"`
+	Idle    time.Duration `msgpack:"l,omitempty"` // expected time to a first token at the engine
 }
 
 // began tells that the first token of a request came.
--- a/internal/relay/desk.go
+++ b/internal/relay/desk.go
@@ -27,7 +27,14 @@
 // Desk reserves places at engines.
 type Desk interface {
 	// Reserve returns a place, or why there is none. The place must be ended.
-	Reserve(ctx context.Context, a Ask) (*Place, engine.Refused)
+	Reserve(ctx context.Context, a Ask) Reservation
+}
+
+// Reservation is the outcome of an Ask.
+type Reservation struct {
+	Place   *Place         // nil if there is none
+	Refused engine.Refused // why there is no place
+	Asked   []string       // what the VMs that were asked said, for logs
 }
 
 // Place is a reserved place at an engine.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -15,9 +15,10 @@
 	"github.com/tanagerlb/tanagerlb/platform"
 )
 
-// late is the multiple of a stream's objective after which a first event is of
-// no more use: callers give up a stream that is silent for so long.
-const late = 2
+// late is how much later than its objective a first event may be expected
+// before a request is refused: one that is late for sure takes the engine's
+// time from those that are not.
+const late = 1.25
 
 // eventBytes bounds one event of a stream.
 const eventBytes = 256 << 10
@@ -29,7 +30,9 @@
 func (x *exchange) generate() {
 	avoid := map[string]bool{}
 	for {
-		place, refused := x.config.Desk.Reserve(x.ctx, x.ask(avoid))
+		reservation := x.config.Desk.Reserve(x.ctx, x.ask(avoid))
+		place := reservation.Place
+		x.placed(reservation)
 		if x.gone() {
 			if place != nil {
 				place.End(engine.Done)
@@ -38,7 +41,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		if place == nil {
-			x.refuse(string(refused.Reason), refused.Wait)
+			x.refuse(string(reservation.Refused.Reason), reservation.Refused.Wait)
 			return
 		}
 		again := x.attempt(place)
@@ -49,6 +52,17 @@
 	}
 }
 
+// placed writes the line of the decision where a request runs.
+func (x *exchange) placed(r Reservation) {
+	upstream, version := "", int64(0)
+	if r.Place != nil {
+		upstream, version = r.Place.Upstream.ID, r.Place.Version
+	}
+	x.config.Logger.Info("relay: placed", zap.String("request", x.call.ID), zap.String("upstream", upstream),
+		zap.String("adapter", x.call.Model+"/"+x.call.Adapter), zap.Int64("adapterVersion", version),
+		zap.Strings("asked", r.Asked), zap.Duration("after", time.Since(x.started)))
+}
+
 // ask describes the request to the VMs that hold engines.
 func (x *exchange) ask(avoid map[string]bool) Ask {
 	objective := x.route.Objective
@@ -59,7 +73,7 @@
 		Service: x.service.Name, Engines: x.view.Serving[x.service.Name], Avoid: avoid,
 		Name: engine.Name{Model: x.call.Model, Adapter: x.call.Adapter}, Parts: x.call.Parts,
 		Prompt: x.call.Prompt, Output: x.call.Output, Urgency: x.route.Urgency,
-		Objective: x.started.Add(objective), Latest: earlier(x.started.Add(late*objective), x.deadline), Deadline: x.deadline,
+		Objective: x.started.Add(objective), Latest: earlier(x.started.Add(time.Duration(late*float64(objective))), x.deadline), Deadline: x.deadline,
 	}
 }
 
@@ -186,9 +200,6 @@
 func (x *exchange) pass(place *Place, e *link.Exchange, sent time.Time) bool {
 	x.ran = true
 	response := e.Response
-	if !x.headers {
-		x.copyHeaders(response)
-	}
 	if response.StatusCode != http.StatusOK {
 		return x.passWhole(place, e)
 	}
@@ -208,6 +219,7 @@
 		}
 		if !x.headers {
 			x.headers = true
+			x.copyHeaders(response)
 			x.w.WriteHeader(response.StatusCode)
 			x.config.Metrics.First(x.route.Urgency, time.Since(x.started))
 		}
@@ -251,6 +263,7 @@
 		return false
 	}
 	x.headers = true
+	x.copyHeaders(e.Response)
 	x.w.WriteHeader(e.Response.StatusCode)
 	_, _ = x.w.Write(body) // the caller may have left
 	return false
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -24,6 +24,8 @@
 	Cold     time.Duration // expected time of a load from the weight store
 	Warm     time.Duration // expected time of a load of an adapter held recently
 	Recent   int           // adapters that were unloaded and still load fast
+	Models   []string      // base models of the service, the one to load into an empty engine first
+	Model    time.Duration // expected time of a load of a base model
 	Versions time.Duration // for which an older version of an adapter may still be used
 	Lag      time.Duration // age of what a report says
 }
@@ -125,8 +127,8 @@
 
 type place struct {
 	Ask
-	granted time.Time
-	begun   bool
+	expected time.Duration // to the first token, at an engine of the assumed pace
+	begun    bool
 }
 
 // Engine schedules one engine. Its methods must not be called at the same time.
@@ -138,6 +140,8 @@
 	orders   int64     // that the engine accepted since its start
 	look     time.Time // when the report is due; zero if it is not
 	models   map[string]bool
+	model    string    // base model that is being loaded
+	ordered  time.Time // when the load of the base model was ordered
 	adapters map[Name]*adapter
 	recent   map[Name]time.Time // when an adapter was unloaded
 	newest   map[Name]int64     // versions named by operators
@@ -161,6 +165,9 @@
 	pace = 20.0
 	// first is the time of a first token beyond the reading of the prompt.
 	first = 60 * time.Millisecond
+	// window is the prompt tokens that an engine is given ahead: with more it
+	// spends its steps on prompts, and the streams that run there crawl.
+	window = 2048
 	// fill is the share of the memory that places may come to hold; prompts
 	// that share parts take less.
 	fill = 1.0
@@ -225,7 +232,7 @@
 		return Refused{Reason: Hopeless, Wait: wait}
 	}
 	if e.fits(now, &a) {
-		return e.grant(now, &a)
+		return e.grant(&a)
 	}
 	e.queue = append(e.queue, &a)
 	return Queued{Wait: wait}
@@ -293,6 +300,9 @@
 		return max(r.ready.Sub(now), 0)
 	}
 	wait := max(e.opens.Sub(now), 0)
+	if !e.models[n.Model] {
+		wait += e.config.Model
+	}
 	pending := 0
 	for _, r := range e.adapters {
 		if r.state == loading && now.Before(r.ready) {
@@ -329,17 +339,17 @@
 	if len(e.places) == 0 {
 		return true
 	}
-	return len(e.places) < e.config.Batch &&
+	return len(e.places) < e.config.Batch && (e.unread+a.Prompt <= window || e.unread <= window/2) &&
 		float64(e.tokens+a.Prompt+a.Output) <= fill*float64(e.config.Memory)
 }
 
-func (e *Engine) grant(now time.Time, a *Ask) Granted {
+func (e *Engine) grant(a *Ask) Granted {
 	if r, ok := e.adapters[a.Name]; ok {
 		r.uses++
 		r.state = resident
 	}
-	e.places[a.ID] = &place{Ask: *a, granted: now}
 	e.unread += a.Prompt
+	e.places[a.ID] = &place{Ask: *a, expected: e.reading(e.unread)}
 	e.tokens += a.Prompt + a.Output
 	if e.failures >= failing {
 		e.trial = a.ID
@@ -361,10 +371,9 @@
 	if !ok || p.begun {
 		return
 	}
-	expected := e.reading(e.unread) // its own prompt and those before it, roughly
 	p.begun = true
 	e.unread -= p.Prompt
-	observed := min(max(float64(after)/float64(expected), slowLeast), slowMost)
+	observed := min(max(float64(after)/float64(p.expected), slowLeast), slowMost)
 	e.slow += weight * (observed - e.slow)
 	e.works()
 }
--- a/pkg/engine/next.go
+++ b/pkg/engine/next.go
@@ -46,7 +46,7 @@
 	for _, a := range e.queue {
 		switch {
 		case e.fits(now, a):
-			actions = append(actions, Answer{ID: a.ID, Verdict: e.grant(now, a)})
+			actions = append(actions, Answer{ID: a.ID, Verdict: e.grant(a)})
 		case now.Add(e.wait(a.Prompt)).After(a.Latest):
 			actions = append(actions, Answer{ID: a.ID, Verdict: Refused{Reason: Hopeless, Wait: e.wait(a.Prompt)}})
 		default:
@@ -66,6 +66,9 @@
 	if now.Before(e.opens) || e.failures >= failing || e.unsure {
 		return nil
 	}
+	if len(e.models) == 0 && len(e.config.Models) > 0 {
+		return e.loadModel(now)
+	}
 	if n, ok := e.outdated(); ok {
 		return e.load(now, n)
 	}
@@ -94,6 +97,26 @@
 	return nil
 }
 
+// loadModel orders the base model of an engine that has none. While it loads,
+// the engine takes no other order.
+func (e *Engine) loadModel(now time.Time) Action {
+	if e.model != "" && now.Sub(e.ordered) < modelPatience*e.config.Model {
+		return nil
+	}
+	e.model, e.ordered = e.config.Models[0], now
+	for _, a := range e.queue {
+		if slices.Contains(e.config.Models, a.Name.Model) {
+			e.model = a.Name.Model
+			break
+		}
+	}
+	return Load{Name: Name{Model: e.model}, Accepted: e.orders}
+}
+
+// modelPatience is the multiple of the expected time after which the load of a
+// base model is ordered again.
+const modelPatience = 10
+
 // outdated returns an adapter whose newer version can be loaded in its place.
 func (e *Engine) outdated() (Name, bool) {
 	for n, r := range e.adapters {
@@ -165,12 +188,23 @@
 	case Unload:
 		e.unloaded(now, a.Name, r)
 	}
-	if r == Unclear || r == Rejected {
-		e.look, e.unsure = now.Add(e.config.Lag), true
+	// After an unclear order the next one is given at once: the engine rejects
+	// it if it has accepted the other, and the other if it accepts this one.
+	if r == Rejected {
+		e.look, e.unsure = now.Add(e.config.Lag/2), true
 	}
 }
 
 func (e *Engine) loaded(now time.Time, n Name, r Result) {
+	if n.Adapter == "" {
+		e.look = now.Add(e.config.Lag)
+		if r == Accepted {
+			e.orders++
+			return
+		}
+		e.model = ""
+		return
+	}
 	held, ok := e.adapters[n]
 	if !ok {
 		return
@@ -179,8 +213,10 @@
 		held.ready = now
 		return
 	}
-	if r == Rejected {
-		delete(e.adapters, n)
+	if r == Rejected || r == Unclear {
+		if held.uses == 0 {
+			delete(e.adapters, n)
+		}
 		return
 	}
 	if r == Accepted {
@@ -230,7 +266,7 @@
 func (e *Engine) Reported(now time.Time, models []roster.Model, coming []Name, orders int64) {
 	e.ordering = false
 	if e.known && orders < e.orders {
-		e.look = now.Add(e.config.Lag)
+		e.look = now.Add(e.config.Lag / 2)
 		return
 	}
 	e.known, e.unsure, e.orders, e.look = true, false, orders, time.Time{}
@@ -263,6 +299,9 @@
 			}
 		}
 	}
+	if len(e.models) > 0 {
+		e.model = ""
+	}
 	if len(e.models) == 0 || len(coming) > 0 {
 		e.look = now.Add(e.config.Lag)
 	}
@@ -300,12 +339,32 @@
 // Usage tells how busy an engine is.
 type Usage struct {
 	Running, Queued, Adapters int
+	Used, Coming, Blocked     int           // adapters in use, in transit; asks whose adapter is absent
+	Unread                    int           // tokens of prompts
+	Slow                      float64       // observed time to a first token, as a multiple of the expected
 	Wait                      time.Duration // expected time to the first token of a short prompt
 }
 
-// Usage returns how busy the engine is.
-func (e *Engine) Usage() Usage {
-	return Usage{Running: len(e.places), Queued: len(e.queue), Adapters: len(e.adapters), Wait: e.wait(0)}
+// Usage returns how busy the engine is at now.
+func (e *Engine) Usage(now time.Time) Usage {
+	u := Usage{
+		Running: len(e.places), Queued: len(e.queue), Adapters: len(e.adapters),
+		Unread: e.unread, Slow: e.slow, Wait: e.wait(0),
+	}
+	for _, r := range e.adapters {
+		if r.uses > 0 {
+			u.Used++
+		}
+		if r.state == loading && now.Before(r.ready) {
+			u.Coming++
+		}
+	}
+	for _, a := range e.queue {
+		if !e.present(now, a.Name) {
+			u.Blocked++
+		}
+	}
+	return u
 }
 
 // Stop takes that the engine accepts no orders of this VM any more. Requests
@@ -314,3 +373,6 @@
 
 // forever is longer than any process runs.
 const forever = 100 * 365 * 24 * time.Hour
+
+// Queued returns the number of asks that wait.
+func (e *Engine) Queued() int { return len(e.queue) }
