--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -120,7 +120,7 @@
 	roster   *roster.Table
 	fence    *fence.Table
 	gossip   *gossip.Table
-	versions map[engine.Name]int64
+	versions map[engine.Name]engine.Version
 	held     map[string]*holder
 	tail     int64 // offset at which the fleet topic ends; -1 before it was read
 	claiming bool
@@ -183,7 +183,7 @@
 	case listed:
 		c.list(now, e)
 	case read:
-		c.records(now, e.topic, e.batch.Records, e.after)
+		c.records(now, e.topic, e.batch.Records, e.after, false)
 		if e.topic == platform.Fleet {
 			c.tail = e.batch.Next
 		}
@@ -222,17 +222,23 @@
 			}
 		}
 	}
-	c.records(now, e.topic, e.batch.Records, e.after)
+	c.records(now, e.topic, e.batch.Records, e.after, true)
 	if e.topic == platform.Fleet {
 		c.tail = e.batch.Next
 	}
 }
 
-func (c *control) records(now time.Time, topic platform.Topic, records []platform.Record, after bool) {
+// records takes records of a topic. They may be old if reads had failed before,
+// or if old tells that they are from a listing.
+func (c *control) records(now time.Time, topic platform.Topic, records []platform.Record, after, old bool) {
+	named := now
+	if after || old {
+		named = now.Add(-c.settings.Bounds.Versions)
+	}
 	for _, r := range records {
 		switch topic {
 		case platform.Operator:
-			c.operator(now, r)
+			c.operator(named, r)
 		case platform.Upstreams:
 			c.upstream(now, r, after)
 		case platform.Fleet:
@@ -241,7 +247,8 @@
 	}
 }
 
-func (c *control) operator(now time.Time, r platform.Record) {
+// operator takes a record of an operator that was written at named or before.
+func (c *control) operator(named time.Time, r platform.Record) {
 	change, err := platform.DecodeChange(r)
 	if err != nil {
 		c.metrics.Ignored("operator")
@@ -258,13 +265,14 @@
 		}
 	case platform.NewVersion:
 		n := engine.Name{Model: change.Model, Adapter: change.Adapter}
-		if change.Version <= c.versions[n] {
+		if change.Version <= c.versions[n].Number {
 			return
 		}
-		c.versions[n] = change.Version
+		version := engine.Version{Number: change.Version, Named: named}
+		c.versions[n] = version
 		c.logger.Info("config: adapter version", zap.String("adapter", n.Model+"/"+n.Adapter), zap.Int64("version", change.Version))
 		for _, h := range c.held {
-			h.engine.Version(now, n, change.Version)
+			h.engine.Newest(n, version)
 		}
 	}
 }
@@ -386,7 +394,7 @@
 	}
 	h := &holder{upstream: u, engine: engine.New(config, opens), token: claim.Token, asked: map[string]netip.AddrPort{}}
 	for n, version := range c.versions {
-		h.engine.Version(now, n, version)
+		h.engine.Newest(n, version)
 	}
 	c.held[u.ID] = h
 	c.logger.Info("claim: engine is held", zap.String("upstream", u.ID), zap.Int64("token", claim.Token),
@@ -432,7 +440,7 @@
 	c.view.Store(&relay.View{Table: c.table, Serving: c.roster.Serving()})
 	known := &holders{vms: map[string]gossip.VM{}, versions: make(map[engine.Name]int64, len(c.versions))}
 	for n, version := range c.versions {
-		known.versions[n] = version
+		known.versions[n] = version.Number
 	}
 	live := map[string]gossip.VM{c.self.Name: c.self}
 	d := &directory{self: c.self, ready: c.table != nil && !c.leaving}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -120,7 +120,7 @@
 		store:   platform.NewStore(platform.StoreConfig{Address: v.settings.Store, Timeout: storeTimeout}),
 		engines: platform.NewEngines(platform.EngineConfig{Timeout: orderTimeout}),
 		events:  make(chan event, eventsWaiting),
-		roster:  roster.New(), fence: fence.New(), versions: map[engine.Name]int64{}, held: map[string]*holder{},
+		roster:  roster.New(), fence: fence.New(), versions: map[engine.Name]engine.Version{}, held: map[string]*holder{},
 		tail: -1, drop: v.links.Drop,
 		gossip: gossip.New(gossip.Config{
 			Patience: 200 * time.Millisecond, Suspicion: time.Second, Share: 6, Pause: 400 * time.Millisecond,
--- a/internal/edge/hold.go
+++ b/internal/edge/hold.go
@@ -62,7 +62,7 @@
 		return
 	}
 	name := engine.Name{Model: a.Model, Adapter: a.Adapter}
-	h.engine.Version(now, name, a.Newest)
+	h.engine.Newest(name, engine.Version{Number: a.Newest, Named: now})
 	verdict := h.engine.Ask(now, engine.Ask{
 		ID: a.ID, Name: name, Prompt: a.Prompt, Output: a.Output,
 		Urgency: a.Urgency, Objective: now.Add(a.Objective), Latest: now.Add(a.Latest), Deadline: now.Add(a.Deadline), Last: a.Last,
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -122,6 +122,7 @@
 	began   time.Time // when its load was ordered
 	warm    bool
 	proved  bool      // a request ran on it
+	old     int64     // version that the one in transit replaces; 0 if it replaces none
 	stale   time.Time // when a newer version was named; zero if none was
 }
 
@@ -144,7 +145,7 @@
 	ordered  time.Time // when the load of the base model was ordered
 	adapters map[Name]*adapter
 	recent   map[Name]time.Time // when an adapter was unloaded
-	newest   map[Name]int64     // versions named by operators
+	newest   map[Name]Version   // as operators named them
 	meters   map[Name]*demand.Meter
 	places   map[string]*place
 	queue    []*Ask
@@ -153,9 +154,11 @@
 	slow     float64 // observed time to first token, as a multiple of the expected
 	failures int     // in a row
 	until    time.Time
-	trial    string  // id of the request that tries a failing engine
-	early    float64 // time of a load from the weight store, as a multiple of the expected
-	unsure   bool    // an order may or may not have been accepted; the next look tells
+	trial    string        // id of the request that tries a failing engine
+	early    float64       // time of a load from the weight store, as a multiple of the expected
+	rest     time.Time     // until when no order is given, after unclear ones
+	backoff  time.Duration // length of the last rest
+	unsure   bool          // an order may or may not have been accepted; the next look tells
 }
 
 // Figures of the estimates.
@@ -204,7 +207,7 @@
 	return &Engine{
 		config: c, opens: opens, slow: 1, early: earlyFirst,
 		models: map[string]bool{}, adapters: map[Name]*adapter{}, recent: map[Name]time.Time{},
-		newest: map[Name]int64{}, meters: map[Name]*demand.Meter{}, places: map[string]*place{},
+		newest: map[Name]Version{}, meters: map[Name]*demand.Meter{}, places: map[string]*place{},
 	}
 }
 
@@ -443,13 +446,19 @@
 	}
 }
 
-// Version takes that an operator named a version of an adapter.
-func (e *Engine) Version(now time.Time, n Name, version int64) {
-	if version <= e.newest[n] {
+// Version is a version of an adapter that an operator named.
+type Version struct {
+	Number int64
+	Named  time.Time // when this VM learned of it, or earlier
+}
+
+// Newest takes that an operator named a version of an adapter.
+func (e *Engine) Newest(n Name, v Version) {
+	if v.Number <= e.newest[n].Number {
 		return
 	}
-	e.newest[n] = version
-	if r, ok := e.adapters[n]; ok && r.version < version && r.stale.IsZero() {
-		r.stale = now
+	e.newest[n] = v
+	if r, ok := e.adapters[n]; ok && r.version < v.Number && r.stale.IsZero() {
+		r.stale = v.Named
 	}
 }
--- a/pkg/engine/next.go
+++ b/pkg/engine/next.go
@@ -63,7 +63,7 @@
 		e.look = time.Time{}
 		return Look{}
 	}
-	if now.Before(e.opens) || e.failures >= failing || e.unsure {
+	if now.Before(e.opens) || e.failures >= failing || e.unsure || now.Before(e.rest) {
 		return nil
 	}
 	if len(e.models) == 0 && len(e.config.Models) > 0 {
@@ -140,9 +140,9 @@
 		warm, took = false, time.Duration(e.early*float64(e.config.Cold))
 	}
 	delete(e.recent, n)
-	*r = adapter{version: e.newest[n], began: now, warm: warm}
+	*r = adapter{version: e.newest[n].Number, began: now, warm: warm, old: r.version}
 	r.ready = now.Add(took)
-	return Load{Name: n, Version: e.newest[n], Accepted: e.orders}
+	return Load{Name: n, Version: e.newest[n].Number, Accepted: e.orders}
 }
 
 // victim returns the idle adapter that is least likely to be asked for soon.
@@ -190,11 +190,24 @@
 	}
 	// After an unclear order the next one is given at once: the engine rejects
 	// it if it has accepted the other, and the other if it accepts this one.
-	if r == Rejected {
+	switch r {
+	case Accepted, Holds:
+		e.backoff = 0
+	case Rejected:
 		e.look, e.unsure = now.Add(e.config.Lag/2), true
+	case Unclear:
+		e.backoff = min(max(2*e.backoff, restLeast), restMost)
+		e.rest = now.Add(e.backoff)
 	}
 }
 
+// restLeast and restMost bound the rest after unclear orders: an engine that
+// crashed refuses connections at once.
+const (
+	restLeast = 5 * time.Millisecond
+	restMost  = 300 * time.Millisecond
+)
+
 func (e *Engine) loaded(now time.Time, n Name, r Result) {
 	if n.Adapter == "" {
 		e.look = now.Add(e.config.Lag)
@@ -214,7 +227,9 @@
 		return
 	}
 	if r == Rejected || r == Unclear {
-		if held.uses == 0 {
+		if held.old > 0 {
+			*held = adapter{state: resident, version: held.old, uses: held.uses, began: held.began, stale: e.newest[n].Named}
+		} else {
 			delete(e.adapters, n)
 		}
 		return
@@ -321,8 +336,8 @@
 		return // the report is older than the order
 	}
 	r.state, r.version = resident, version
-	if version < e.newest[n] && r.stale.IsZero() {
-		r.stale = now
+	if version < e.newest[n].Number && r.stale.IsZero() {
+		r.stale = e.newest[n].Named
 	}
 }
 
