--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -122,7 +122,7 @@
 	began   time.Time // when its load was ordered
 	warm    bool
 	proved  bool      // a request ran on it
-	old     int64     // version that the one in transit replaces; 0 if it replaces none
+	old     *adapter  // what the version in transit replaces; nil if it replaces none
 	stale   time.Time // when a newer version was named; zero if none was
 }
 
@@ -139,6 +139,7 @@
 	known    bool      // the engine's state was read from a report
 	ordering bool      // an order or a look is under way
 	orders   int64     // that the engine accepted since its start
+	accepted time.Time // when it accepted the last one
 	look     time.Time // when the report is due; zero if it is not
 	models   map[string]bool
 	model    string    // base model that is being loaded
--- a/pkg/engine/next.go
+++ b/pkg/engine/next.go
@@ -140,7 +140,12 @@
 		warm, took = false, time.Duration(e.early*float64(e.config.Cold))
 	}
 	delete(e.recent, n)
-	*r = adapter{version: e.newest[n].Number, began: now, warm: warm, old: r.version}
+	next := adapter{version: e.newest[n].Number, began: now, warm: warm}
+	if ok {
+		old := *r
+		next.old = &old
+	}
+	*r = next
 	r.ready = now.Add(took)
 	return Load{Name: n, Version: e.newest[n].Number, Accepted: e.orders}
 }
@@ -192,7 +197,7 @@
 	// it if it has accepted the other, and the other if it accepts this one.
 	switch r {
 	case Accepted, Holds:
-		e.backoff = 0
+		e.backoff, e.accepted = 0, now
 	case Rejected:
 		e.look, e.unsure = now.Add(e.config.Lag/2), true
 	case Unclear:
@@ -227,8 +232,10 @@
 		return
 	}
 	if r == Rejected || r == Unclear {
-		if held.old > 0 {
-			*held = adapter{state: resident, version: held.old, uses: held.uses, began: held.began, stale: e.newest[n].Named}
+		if held.old != nil {
+			uses := held.uses
+			*held = *held.old
+			held.uses = uses
 		} else {
 			delete(e.adapters, n)
 		}
@@ -280,7 +287,7 @@
 // A report from before an accepted order is not used.
 func (e *Engine) Reported(now time.Time, models []roster.Model, coming []Name, orders int64) {
 	e.ordering = false
-	if e.known && orders < e.orders {
+	if e.known && orders < e.orders && now.Sub(e.accepted) < e.config.Lag {
 		e.look = now.Add(e.config.Lag / 2)
 		return
 	}
@@ -335,7 +342,7 @@
 	if r.state == loading && now.Sub(r.began) < e.config.Lag && version < r.version {
 		return // the report is older than the order
 	}
-	r.state, r.version = resident, version
+	r.state, r.version, r.old = resident, version, nil
 	if version < e.newest[n].Number && r.stale.IsZero() {
 		r.stale = e.newest[n].Named
 	}
