feat(engine): count prompt parts that an engine keeps, urgency as a head start

Cause: long drafts were refused as hopeless though most of their prompt was kept, and stood behind all more urgent asks whatever they had waited.

--- a/internal/edge/desk.go
+++ b/internal/edge/desk.go
@@ -223,7 +223,7 @@
 	for {
 		now := time.Now()
 		d.deliver(holder, packet{Ask: &ask{
-			Engine: u.ID, ID: id, Model: a.Name.Model, Adapter: a.Name.Adapter, Prompt: a.Prompt, Output: a.Output,
+			Engine: u.ID, ID: id, Model: a.Name.Model, Adapter: a.Name.Adapter, Prompt: a.Prompt, Output: a.Output, Parts: a.Parts,
 			Urgency: a.Urgency, Objective: a.Objective.Sub(now), Latest: a.Latest.Sub(now), Deadline: a.Deadline.Sub(now), Last: last,
 			Newest: known.versions[a.Name],
 		}})
--- a/internal/edge/hold.go
+++ b/internal/edge/hold.go
@@ -64,7 +64,7 @@
 	name := engine.Name{Model: a.Model, Adapter: a.Adapter}
 	h.engine.Newest(name, engine.Version{Number: a.Newest, Named: now})
 	verdict := h.engine.Ask(now, engine.Ask{
-		ID: a.ID, Name: name, Prompt: a.Prompt, Output: a.Output,
+		ID: a.ID, Name: name, Prompt: a.Prompt, Output: a.Output, Parts: a.Parts,
 		Urgency: a.Urgency, Objective: now.Add(a.Objective), Latest: now.Add(a.Latest), Deadline: now.Add(a.Deadline), Last: a.Last,
 	})
 	if _, queued := verdict.(engine.Queued); queued {
--- a/internal/edge/packet.go
+++ b/internal/edge/packet.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
+	"github.com/tanagerlb/tanagerlb/pkg/call"
 	"github.com/tanagerlb/tanagerlb/pkg/engine"
 	"github.com/tanagerlb/tanagerlb/pkg/gossip"
 )
@@ -38,6 +39,7 @@
 	Adapter   string        `msgpack:"a,omitempty"`
 	Prompt    int           `msgpack:"p"`
 	Output    int           `msgpack:"o"`
+	Parts     []call.Part   `msgpack:"s,omitempty"`
 	Urgency   int           `msgpack:"u,omitempty"`
 	Objective time.Duration `msgpack:"t"`
 	Latest    time.Duration `msgpack:"n"`
--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -17,8 +17,8 @@
 
 // Part is a piece of a prompt.
 type Part struct {
-	ID     uint64
-	Tokens int
+	ID     uint64 `msgpack:"i"`
+	Tokens int    `msgpack:"t"`
 }
 
 // Bound returns how long a request may take: the shorter one of the caller's
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"github.com/tanagerlb/tanagerlb/pkg/call"
 	"github.com/tanagerlb/tanagerlb/pkg/demand"
 )
 
@@ -37,13 +38,21 @@
 type Ask struct {
 	ID        string
 	Name      Name
-	Prompt    int       // tokens
-	Output    int       // tokens
-	Urgency   int       // 0 is the most urgent
-	Objective time.Time // when the first token is due
-	Latest    time.Time // when a first token is of no more use
-	Deadline  time.Time // when the whole answer is of no more use
-	Last      bool      // no better place is known; the ask may wait
+	Prompt    int         // tokens
+	Output    int         // tokens
+	Parts     []call.Part // of the prompt, in order
+	Urgency   int         // 0 is the most urgent
+	Objective time.Time   // when the first token is due
+	Latest    time.Time   // when a first token is of no more use, if it can come earlier
+	Deadline  time.Time   // when the whole answer is of no more use
+	Last      bool        // no better place is known; the ask may wait
+
+	read int // tokens of the prompt that the engine has to read
+}
+
+// due orders asks: the more urgent of two that came together is due earlier.
+func (a *Ask) due() time.Time {
+	return a.Objective.Add(time.Duration(a.Urgency) * rank)
 }
 
 // Verdict is Granted, Queued or Refused.
@@ -150,6 +159,7 @@
 	meters   map[Name]*demand.Meter
 	places   map[string]*place
 	queue    []*Ask
+	kept     *prompts
 	unread   int     // tokens of prompts that were sent and not yet read
 	tokens   int     // tokens that the places may come to hold
 	slow     float64 // observed time to first token, as a multiple of the expected
@@ -171,7 +181,13 @@
 	first = 60 * time.Millisecond
 	// window is the prompt tokens that an engine is given ahead: with more it
 	// spends its steps on prompts, and the streams that run there crawl.
-	window = 2048
+	window = 3072
+	// rank is by how much a less urgent ask is due later. It is a head start
+	// and no more, so that no kind of request starves.
+	rank = 100 * time.Millisecond
+	// own is how many times its shortest possible wait an ask may take, even if
+	// that makes it late: a long prompt is late at the idlest engine.
+	own = 1.5
 	// fill is the share of the memory that places may come to hold; prompts
 	// that share parts take less.
 	fill = 1.0
@@ -208,7 +224,7 @@
 	return &Engine{
 		config: c, opens: opens, slow: 1, early: earlyFirst,
 		models: map[string]bool{}, adapters: map[Name]*adapter{}, recent: map[Name]time.Time{},
-		newest: map[Name]Version{}, meters: map[Name]*demand.Meter{}, places: map[string]*place{},
+		newest: map[Name]Version{}, meters: map[Name]*demand.Meter{}, places: map[string]*place{}, kept: newPrompts(c.Memory),
 	}
 }
 
@@ -218,6 +234,7 @@
 	if p, ok := e.places[a.ID]; ok {
 		return Granted{Version: e.version(p.Name)}
 	}
+	a.read = e.kept.unread(a.Name, a.Prompt, a.Parts)
 	wait := e.estimate(now, &a)
 	for _, q := range e.queue {
 		if q.ID == a.ID {
@@ -232,7 +249,7 @@
 	if !a.Last && wait > time.Duration(soon*float64(left)) {
 		return Refused{Reason: Busy, Wait: wait}
 	}
-	if now.Add(wait).After(a.Latest) {
+	if now.Add(wait).After(e.latest(now, &a)) {
 		return Refused{Reason: Hopeless, Wait: wait}
 	}
 	if e.fits(now, &a) {
@@ -272,17 +289,33 @@
 func (e *Engine) estimate(now time.Time, a *Ask) time.Duration {
 	ahead := 0
 	for _, q := range e.queue {
-		if q.ID != a.ID && q.Urgency <= a.Urgency {
-			ahead += q.Prompt
+		if q.ID != a.ID && q.due().Before(a.due()) {
+			ahead += q.read
 		}
 	}
-	wait := e.wait(a.Prompt + ahead)
+	wait := e.wait(a.read + ahead)
 	if !e.present(now, a.Name) {
 		wait += e.loadWait(now, a.Name)
 	}
 	return wait
 }
 
+// latest returns when a first token is of no more use to an ask.
+func (e *Engine) latest(now time.Time, a *Ask) time.Time {
+	shortest := time.Duration(own * e.slow * float64(e.reading(a.read)))
+	if !e.present(now, a.Name) {
+		shortest += e.loadTime(a.Name)
+	}
+	latest := a.Latest
+	if t := now.Add(shortest); t.After(latest) {
+		latest = t
+	}
+	if latest.After(a.Deadline) {
+		return a.Deadline
+	}
+	return latest
+}
+
 // present tells whether requests for an adapter can be sent now.
 func (e *Engine) present(now time.Time, n Name) bool {
 	if !e.known {
@@ -318,14 +351,14 @@
 			pending++
 		}
 	}
-	own := e.loadTime(now, n)
+	own := e.loadTime(n)
 	if pending >= e.config.Transit {
 		wait += time.Duration(pending/e.config.Transit) * own
 	}
 	return wait + own
 }
 
-func (e *Engine) loadTime(_ time.Time, n Name) time.Duration {
+func (e *Engine) loadTime(n Name) time.Duration {
 	if _, ok := e.recent[n]; ok {
 		return e.config.Warm
 	}
@@ -343,7 +376,7 @@
 	if len(e.places) == 0 {
 		return true
 	}
-	return len(e.places) < e.config.Batch && (e.unread+a.Prompt <= window || e.unread <= window/2) &&
+	return len(e.places) < e.config.Batch && (e.unread+a.read <= window || e.unread <= window/2) &&
 		float64(e.tokens+a.Prompt+a.Output) <= fill*float64(e.config.Memory)
 }
 
@@ -352,7 +385,7 @@
 		r.uses++
 		r.state = resident
 	}
-	e.unread += a.Prompt
+	e.unread += a.read
 	e.places[a.ID] = &place{Ask: *a, expected: e.reading(e.unread)}
 	e.tokens += a.Prompt + a.Output
 	if e.failures >= failing {
@@ -376,7 +409,8 @@
 		return
 	}
 	p.begun = true
-	e.unread -= p.Prompt
+	e.kept.keep(p.Name, p.Parts)
+	e.unread -= p.read
 	observed := min(max(float64(after)/float64(p.expected), slowLeast), slowMost)
 	e.slow += weight * (observed - e.slow)
 	e.works()
@@ -427,7 +461,7 @@
 	delete(e.places, p.ID)
 	e.tokens -= p.Prompt + p.Output
 	if !p.begun {
-		e.unread -= p.Prompt
+		e.unread -= p.read
 	}
 	if r, ok := e.adapters[p.Name]; ok {
 		r.uses--
--- a/pkg/engine/next.go
+++ b/pkg/engine/next.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -39,7 +38,7 @@
 // that is due first.
 func (e *Engine) serve(now time.Time) []Action {
 	slices.SortStableFunc(e.queue, func(a, b *Ask) int {
-		return cmp.Or(cmp.Compare(a.Urgency, b.Urgency), a.Objective.Compare(b.Objective))
+		return a.due().Compare(b.due())
 	})
 	var actions []Action
 	var left []*Ask
@@ -47,8 +46,8 @@
 		switch {
 		case e.fits(now, a):
 			actions = append(actions, Answer{ID: a.ID, Verdict: e.grant(a)})
-		case now.Add(e.wait(a.Prompt)).After(a.Latest):
-			actions = append(actions, Answer{ID: a.ID, Verdict: Refused{Reason: Hopeless, Wait: e.wait(a.Prompt)}})
+		case now.Add(e.wait(a.read)).After(e.latest(now, a)):
+			actions = append(actions, Answer{ID: a.ID, Verdict: Refused{Reason: Hopeless, Wait: e.wait(a.read)}})
 		default:
 			left = append(left, a)
 		}
@@ -129,7 +128,7 @@
 }
 
 func (e *Engine) load(now time.Time, n Name) Action {
-	took := e.loadTime(now, n)
+	took := e.loadTime(n)
 	_, warm := e.recent[n]
 	r, ok := e.adapters[n]
 	if !ok {
