--- a/internal/edge/desk.go
+++ b/internal/edge/desk.go
@@ -213,7 +213,7 @@
 	if !ok || d.shunned(holder.Name) {
 		return nil
 	}
-	id := fmt.Sprintf("%x.%x", d.self.Boot, d.serial.Add(1))
+	id := fmt.Sprintf("%s.%x.%x", d.self.Name, d.self.Boot, d.serial.Add(1))
 	answers := make(chan *answer, 4)
 	d.mu.Lock()
 	d.pending[id] = answers
