--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -160,10 +160,11 @@
 	places   map[string]*place
 	queue    []*Ask
 	kept     *prompts
-	unread   int     // tokens of prompts that were sent and not yet read
-	tokens   int     // tokens that the places may come to hold
-	slow     float64 // observed time to first token, as a multiple of the expected
-	failures int     // in a row
+	unread   int           // tokens of prompts that were sent and not yet read
+	tokens   int           // tokens that the places may come to hold
+	slow     float64       // observed time to first token, as a multiple of the expected
+	least    time.Duration // to a first token, as an idle engine takes it
+	failures int           // in a row
 	until    time.Time
 	trial    string        // id of the request that tries a failing engine
 	early    float64       // time of a load from the weight store, as a multiple of the expected
@@ -179,9 +180,13 @@
 	pace = 20.0
 	// first is the time of a first token beyond the reading of the prompt.
 	first = 60 * time.Millisecond
-	// window is the prompt tokens that an engine is given ahead: with more it
+	// window is the prompt tokens that an engine is given ahead, beyond those
+	// that it reads in the time of an idle engine's first token: with more it
 	// spends its steps on prompts, and the streams that run there crawl.
-	window = 3072
+	window = 1536
+	// rise is the share by which the least time to a first token grows with
+	// each observation, so that an engine that became slower shows.
+	rise = 0.01
 	// rank is by how much a less urgent ask is due later. It is a head start
 	// and no more, so that no kind of request starves.
 	rank = 100 * time.Millisecond
@@ -222,7 +227,7 @@
 // given at opens.
 func New(c Config, opens time.Time) *Engine {
 	return &Engine{
-		config: c, opens: opens, slow: 1, early: earlyFirst,
+		config: c, opens: opens, slow: 1, least: first, early: earlyFirst,
 		models: map[string]bool{}, adapters: map[Name]*adapter{}, recent: map[Name]time.Time{},
 		newest: map[Name]Version{}, meters: map[Name]*demand.Meter{}, places: map[string]*place{}, kept: newPrompts(c.Memory),
 	}
@@ -376,7 +381,8 @@
 	if len(e.places) == 0 {
 		return true
 	}
-	return len(e.places) < e.config.Batch && (e.unread+a.read <= window || e.unread <= window/2) &&
+	ahead := window + int(pace*float64(e.least)/float64(time.Millisecond))
+	return len(e.places) < e.config.Batch && (e.unread+a.read <= ahead || e.unread <= ahead/2) &&
 		float64(e.tokens+a.Prompt+a.Output) <= fill*float64(e.config.Memory)
 }
 
@@ -408,6 +414,7 @@
 	if !ok || p.begun {
 		return
 	}
+	e.least = min(e.least+time.Duration(rise*float64(after-e.least)), after)
 	p.begun = true
 	e.kept.keep(p.Name, p.Parts)
 	e.unread -= p.read
