feat(engine): order asks by when they have to be granted to be on time

Cause: long drafts were granted by their objective alone, too late for the reading of their prompt, and engines let each more urgent request pass them.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -499,6 +499,7 @@
 	}
 	switch {
 	case now.Sub(c.started) < settleTime+time.Duration(before)*spread:
+		c.reclaim(ctx)
 		return
 	case len(live) > 1:
 		c.alone = now
@@ -517,6 +518,20 @@
 	c.write(ctx, due, false)
 }
 
+// reclaim claims the engines that an earlier run of this VM's process held.
+// Nobody else may have claimed them meanwhile, so there is nothing to wait for.
+func (c *control) reclaim(ctx context.Context) {
+	var own []string
+	for _, u := range c.engineUpstreams() {
+		if h, ok := c.fence.Of(u.ID); ok && h.VM == c.self.Name && h.Boot != c.self.Boot && !h.Free {
+			own = append(own, u.ID)
+		}
+	}
+	if len(own) > 0 {
+		c.write(ctx, own, false)
+	}
+}
+
 // write appends claims of this VM, on the condition that it has read all
 // others.
 func (c *control) write(ctx context.Context, engines []string, free bool) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -31,7 +31,7 @@
 	storeTimeout  = 700 * time.Millisecond // of a call of the store
 	orderTimeout  = 150 * time.Millisecond // of an order to an engine, some round trips and a pause of the VM
 	longPoll      = 20 * time.Second       // for new records of operators and the fleet
-	rosterPause   = 700 * time.Millisecond // between reads of the upstreams' entries, within the bound for leaving ones
+	rosterShare   = 0.5                    // of the bound for leaving upstreams, between reads of their entries
 	dialTimeout   = 400 * time.Millisecond // for a connection to an upstream, some round trips
 	linkIdle      = 4 * time.Second        // of a connection to an upstream that names no time
 	linksKept     = 64                     // idle connections to one upstream
@@ -91,7 +91,7 @@
 	}
 	operator := v.feed(platform.Operator, longPoll, 0)
 	fleet := v.feed(platform.Fleet, longPoll, 0)
-	upstreams := v.feed(platform.Upstreams, 0, rosterPause)
+	upstreams := v.feed(platform.Upstreams, 0, time.Duration(rosterShare*float64(s.Bounds.Drain)))
 	upstreams.onUp = func() {
 		operator.restart()
 		fleet.restart()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -90,8 +90,7 @@
 	x.sends++
 	sent := time.Now()
 	send := platform.Send{
-		Upstream: place.Upstream.ID, Left: time.Until(x.deadline), Version: place.Version,
-		Urgency: x.route.Urgency, Ranked: true, Resume: x.lastID,
+		Upstream: place.Upstream.ID, Left: time.Until(x.deadline), Version: place.Version, Resume: x.lastID,
 	}
 	request := x.outbound(send)
 	e, err := x.config.Links.Do(x.ctx, place.Upstream.Address, request)
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -50,9 +50,11 @@
 	read int // tokens of the prompt that the engine has to read
 }
 
-// due orders asks: the more urgent of two that came together is due earlier.
+// due returns when an ask has to be granted to be on time, by which asks are
+// ordered: a long prompt takes longer to be read. The more urgent of two asks
+// that came together has a head start.
 func (a *Ask) due() time.Time {
-	return a.Objective.Add(time.Duration(a.Urgency) * rank)
+	return a.Objective.Add(time.Duration(a.Urgency)*rank - reading(a.read))
 }
 
 // Verdict is Granted, Queued or Refused.
@@ -189,7 +191,7 @@
 	rise = 0.01
 	// rank is by how much a less urgent ask is due later. It is a head start
 	// and no more, so that no kind of request starves.
-	rank = 100 * time.Millisecond
+	rank = 25 * time.Millisecond
 	// own is how many times its shortest possible wait an ask may take, even if
 	// that makes it late: a long prompt is late at the idlest engine.
 	own = 1.5
@@ -281,12 +283,12 @@
 
 // wait returns the time to the first token of a prompt that is sent now.
 func (e *Engine) wait(prompt int) time.Duration {
-	return time.Duration(e.slow * float64(e.reading(e.unread+prompt)))
+	return time.Duration(e.slow * float64(reading(e.unread+prompt)))
 }
 
 // reading returns the time to the first token after the reading of tokens, at
 // an engine of the assumed pace.
-func (e *Engine) reading(tokens int) time.Duration {
+func reading(tokens int) time.Duration {
 	return first + time.Duration(float64(tokens)/pace*float64(time.Millisecond))
 }
 
@@ -307,7 +309,7 @@
 
 // latest returns when a first token is of no more use to an ask.
 func (e *Engine) latest(now time.Time, a *Ask) time.Time {
-	shortest := time.Duration(own * e.slow * float64(e.reading(a.read)))
+	shortest := time.Duration(own * e.slow * float64(reading(a.read)))
 	if !e.present(now, a.Name) {
 		shortest += e.loadTime(a.Name)
 	}
@@ -392,7 +394,7 @@
 		r.state = resident
 	}
 	e.unread += a.read
-	e.places[a.ID] = &place{Ask: *a, expected: e.reading(e.unread)}
+	e.places[a.ID] = &place{Ask: *a, expected: reading(e.unread)}
 	e.tokens += a.Prompt + a.Output
 	if e.failures >= failing {
 		e.trial = a.ID
