--- /dev/null
+++ b/pkg/fence/fence_test.go
@@ -0,0 +1,85 @@
+package fence_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tanagerlb/tanagerlb/pkg/fence"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func TestOpens(t *testing.T) {
+	const lease = 3 * time.Second
+	a, b := fence.Claim{Engine: "e", VM: "a", Boot: 1}, fence.Claim{Engine: "e", VM: "b", Boot: 1}
+	again := fence.Claim{Engine: "e", VM: "a", Boot: 2}
+	free := a
+	free.Free = true
+	for _, c := range []struct {
+		name   string
+		claims []fence.Claim // a second apart
+		opens  time.Duration // after the last one
+	}{
+		{"first", []fence.Claim{a}, 0},
+		{"restarted", []fence.Claim{a, again}, -time.Second}, // at once
+		{"taken over", []fence.Claim{a, b}, lease},
+		{"taken over after a release", []fence.Claim{a, free, b}, lease},
+		{"restarted while it waits", []fence.Claim{b, a, again}, lease - time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			table := fence.New()
+			now := start
+			for i, claim := range c.claims {
+				now = start.Add(time.Duration(i) * time.Second)
+				is.True(table.Apply(now, int64(i+1), claim))
+			}
+			h, ok := table.Of("e")
+			is.True(ok)
+			is.Equal(h.Token, int64(len(c.claims)))
+			is.Equal(h.Opens(lease), now.Add(c.opens))
+		})
+	}
+}
+
+func TestClaimReadAgainChangesNothing(t *testing.T) {
+	is := is.New(t)
+	table := fence.New()
+	is.True(table.Apply(start, 5, fence.Claim{Engine: "e", VM: "a"}))
+	is.True(!table.Apply(start, 5, fence.Claim{Engine: "e", VM: "a"}))
+	is.True(!table.Apply(start, 4, fence.Claim{Engine: "e", VM: "b"}))
+	h, _ := table.Of("e")
+	is.Equal(h.VM, "a")
+}
+
+func TestDueSpreadsEngines(t *testing.T) {
+	is := is.New(t)
+	vms := []fence.VM{{Name: "a", Boot: 1}, {Name: "b", Boot: 1}, {Name: "c", Boot: 1}}
+	engines := []string{"e1", "e2", "e3", "e4", "e5", "e6"}
+	table := fence.New()
+	owners := map[string]string{}
+	for _, vm := range vms {
+		due := table.Due(vm, vms, engines)
+		is.Equal(len(due), 2)
+		for _, e := range due {
+			_, taken := owners[e]
+			is.True(!taken) // VMs that see the same claim different engines
+			owners[e] = vm.Name
+		}
+	}
+}
+
+func TestDueOnlyWhenTheHolderIsGone(t *testing.T) {
+	is := is.New(t)
+	table := fence.New()
+	table.Apply(start, 1, fence.Claim{Engine: "e1", VM: "a", Boot: 1})
+	table.Apply(start, 2, fence.Claim{Engine: "e2", VM: "b", Boot: 1})
+	a, b := fence.VM{Name: "a", Boot: 1}, fence.VM{Name: "b", Boot: 1}
+	is.Equal(len(table.Due(a, []fence.VM{a, b}, []string{"e1", "e2"})), 0)
+	is.Equal(table.Due(a, []fence.VM{a}, []string{"e1", "e2"}), []string{"e2"})
+	b.Boot = 2 // b restarted and claims its engine again
+	is.Equal(len(table.Due(a, []fence.VM{a, b}, []string{"e1", "e2"})), 0)
+	is.Equal(table.Due(b, []fence.VM{a, b}, []string{"e1", "e2"}), []string{"e2"})
+}
--- /dev/null
+++ b/pkg/gossip/gossip_test.go
@@ -0,0 +1,143 @@
+package gossip_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tanagerlb/tanagerlb/pkg/gossip"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+const tick = 100 * time.Millisecond
+
+func config() gossip.Config {
+	return gossip.Config{Patience: 200 * time.Millisecond, Suspicion: time.Second, Share: 6, Pause: 400 * time.Millisecond}
+}
+
+func vm(i int) gossip.VM { return gossip.VM{Name: fmt.Sprintf("vm%03d", i), Boot: 1} }
+
+// fleet plays a fleet in which packets to and from some VMs are lost.
+type fleet struct {
+	tables map[string]*gossip.Table
+	cut    map[string]bool
+	now    time.Time
+	probes int
+}
+
+func newFleet(size int) *fleet {
+	f := &fleet{tables: map[string]*gossip.Table{}, cut: map[string]bool{}, now: start}
+	for i := range size {
+		t := gossip.New(config(), vm(i))
+		for j := range size {
+			t.Learn(start, gossip.News{VM: vm(j)})
+		}
+		f.tables[vm(i).Name] = t
+	}
+	return f
+}
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(tick) {
+		for name, t := range f.tables {
+			probes, _ := t.Tick(f.now)
+			for _, to := range probes {
+				f.probes++
+				f.exchange(name, to.Name)
+			}
+		}
+	}
+}
+
+func (f *fleet) exchange(from, to string) {
+	if f.cut[from] || f.cut[to] {
+		return
+	}
+	a, b := f.tables[from], f.tables[to]
+	for _, way := range []struct{ from, to *gossip.Table }{{a, b}, {b, a}} {
+		way.to.Heard(f.now, way.from.Self())
+		for _, n := range way.from.Share() {
+			way.to.Learn(f.now, n)
+		}
+	}
+}
+
+func (f *fleet) count(of string, s gossip.Status) int {
+	count := 0
+	for name, t := range f.tables {
+		if name == of || f.cut[name] {
+			continue
+		}
+		for _, n := range t.Known() {
+			if n.VM.Name == of && n.Status == s {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func TestDeadVMIsFoundByAllAndNoOtherIs(t *testing.T) {
+	for _, size := range []int{2, 9, 100} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(size)
+			f.run(2 * time.Second)
+			f.cut[vm(0).Name] = true
+			f.run(5 * time.Second)
+			is.Equal(f.count(vm(0).Name, gossip.Dead), size-1)
+			for i := 1; i < size; i++ {
+				is.Equal(f.count(vm(i).Name, gossip.Alive), size-2) // all but the cut one and itself
+			}
+			f.cut[vm(0).Name] = false
+			f.run(time.Duration(size+40) * tick)
+			is.Equal(f.count(vm(0).Name, gossip.Alive), size-1)
+		})
+	}
+}
+
+// The work of a VM must not grow with the fleet.
+func TestProbesPerVMDoNotGrow(t *testing.T) {
+	is := is.New(t)
+	for _, size := range []int{9, 90} {
+		f := newFleet(size)
+		f.run(5 * time.Second)
+		is.Equal(f.probes, size*50)
+	}
+}
+
+func TestRestartedVMIsAliveAtOnce(t *testing.T) {
+	is := is.New(t)
+	table := gossip.New(config(), vm(0))
+	table.Heard(start, gossip.News{VM: vm(1)})
+	is.True(table.Learn(start, gossip.News{VM: vm(1), Status: gossip.Dead}))
+	again := vm(1)
+	again.Boot = 2
+	is.True(table.Heard(start.Add(time.Second), gossip.News{VM: again}))
+	is.True(!table.Learn(start, gossip.News{VM: vm(1), Status: gossip.Dead, Beat: 9})) // of the run before
+	is.Equal(table.Known()[0].Status, gossip.Alive)
+}
+
+func TestVMThatStoodStillSuspectsNobody(t *testing.T) {
+	is := is.New(t)
+	table := gossip.New(config(), vm(0))
+	table.Heard(start, gossip.News{VM: vm(1)})
+	table.Tick(start)
+	now := start
+	for range 5 {
+		now = now.Add(10 * time.Second) // the VM was frozen meanwhile
+		_, changed := table.Tick(now)
+		is.Equal(len(changed), 0)
+	}
+}
+
+func TestSuspectedVMObjects(t *testing.T) {
+	is := is.New(t)
+	table := gossip.New(config(), vm(0))
+	table.Learn(start, gossip.News{VM: vm(0), Status: gossip.Suspect, Beat: 3})
+	is.Equal(table.Self().Beat, uint32(4))
+	is.Equal(table.Self().Status, gossip.Alive)
+}
--- /dev/null
+++ b/pkg/roster/roster_test.go
@@ -0,0 +1,60 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tanagerlb/tanagerlb/pkg/roster"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func up(draining bool, born int64) roster.Upstream {
+	return roster.Upstream{ID: "u", Service: "s", Draining: draining, Born: born}
+}
+
+func TestChanges(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		entries []roster.Upstream
+		want    roster.Change
+		serving int
+	}{
+		{"new", []roster.Upstream{up(false, 1)}, roster.Added, 1},
+		{"same", []roster.Upstream{up(false, 1), up(false, 1)}, roster.Same, 1},
+		{"leaves", []roster.Upstream{up(false, 1), up(true, 1)}, roster.Drained, 0},
+		{"entry from before it left", []roster.Upstream{up(true, 1), up(false, 1)}, roster.Same, 0},
+		{"starts again", []roster.Upstream{up(true, 1), up(false, 2)}, roster.Reborn, 1},
+		{"entry of an earlier start", []roster.Upstream{up(false, 2), up(true, 1)}, roster.Outdated, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			table := roster.New()
+			var last roster.Change
+			for _, u := range c.entries {
+				last = table.Apply(u)
+			}
+			is.Equal(last, c.want)
+			is.Equal(len(table.Serving()["s"]), c.serving)
+		})
+	}
+}
+
+func TestMissingEntry(t *testing.T) {
+	const grace = 2 * time.Second
+	is := is.New(t)
+	table := roster.New()
+	table.Apply(up(false, 1))
+
+	is.True(table.Remove(start, "u", grace)) // after an outage of the store
+	is.Equal(len(table.Forget(start.Add(time.Second))), 0)
+	is.Equal(len(table.Serving()["s"]), 1)
+	is.Equal(table.Apply(up(false, 1)), roster.Added) // it is back
+	is.Equal(len(table.Forget(start.Add(time.Minute))), 0)
+
+	is.True(table.Remove(start, "u", 0))
+	is.Equal(table.Forget(start), []string{"u"})
+	is.Equal(len(table.IDs()), 0)
+}
