feat(edge): read the store less often the larger the fleet

Change: the fleet topic is read with a pause, and before a claim; one VM in eight reads the upstreams' entries and lends changes to its group; failed calls back off.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -81,6 +81,9 @@
 	spread = 80 * time.Millisecond
 	// claimPause is the time between two looks for engines to claim.
 	claimPause = 250 * time.Millisecond
+	// tailAge is the age up to which what was read of the fleet topic is
+	// likely still all of it.
+	tailAge = 100 * time.Millisecond
 	// aloneTime is how long a VM that hears no other must do so before it
 	// claims engines: it may be cut off.
 	aloneTime = 15 * time.Second
@@ -122,7 +125,12 @@
 	gossip   *gossip.Table
 	versions map[engine.Name]engine.Version
 	held     map[string]*holder
-	tail     int64 // offset at which the fleet topic ends; -1 before it was read
+	tail     int64                       // offset at which the fleet topic ends; -1 before it was read
+	tailAt   time.Time                   // when the fleet topic was read last
+	refresh  func()                      // asks for a read of the fleet topic
+	applied  int64                       // offset up to which the upstreams' records were taken
+	lends    func(bool)                  // tells whether this VM reads upstreams' entries for others
+	borrow   func(from, next int64) bool // tells whether lent records continue what was read
 	claiming bool
 	leaving  bool
 	started  time.Time
@@ -183,9 +191,12 @@
 	case listed:
 		c.list(now, e)
 	case read:
-		c.records(now, e.topic, e.batch.Records, e.after, false)
+		changed := c.records(now, e.topic, e.batch.Records, e.after, false)
+		if e.topic == platform.Upstreams {
+			c.lend(e.from, e.batch.Next, changed)
+		}
 		if e.topic == platform.Fleet {
-			c.tail = e.batch.Next
+			c.tail, c.tailAt = e.batch.Next, now
 		}
 	case received:
 		c.packet(ctx, now, e)
@@ -201,11 +212,15 @@
 		if e.err != nil {
 			c.logger.Info("claim: not written", zap.Error(e.err))
 		}
+		c.refresh()
 		return
 	case leave:
 		c.leave(ctx, now)
 	}
 	c.settle(now)
+	if r, ok := e.(read); ok && r.topic == platform.Fleet {
+		c.claim(ctx, now)
+	}
 	c.advance(ctx, now)
 }
 
@@ -223,14 +238,19 @@
 		}
 	}
 	c.records(now, e.topic, e.batch.Records, e.after, true)
+	if e.topic == platform.Upstreams {
+		c.applied = e.batch.Next
+	}
 	if e.topic == platform.Fleet {
-		c.tail = e.batch.Next
+		c.tail, c.tailAt = e.batch.Next, now
 	}
 }
 
 // records takes records of a topic. They may be old if reads had failed before,
 // or if old tells that they are from a listing.
-func (c *control) records(now time.Time, topic platform.Topic, records []platform.Record, after, old bool) {
+// It returns the records that changed a belief about upstreams.
+func (c *control) records(now time.Time, topic platform.Topic, records []platform.Record, after, old bool) []platform.Record {
+	var changed []platform.Record
 	named := now
 	if after || old {
 		named = now.Add(-c.settings.Bounds.Versions)
@@ -240,11 +260,18 @@
 		case platform.Operator:
 			c.operator(named, r)
 		case platform.Upstreams:
-			c.upstream(now, r, after)
+			if !old && r.Offset < c.applied {
+				continue // a peer lent it before
+			}
+			c.applied = max(c.applied, r.Offset+1)
+			if c.upstream(now, r, after) {
+				changed = append(changed, r)
+			}
 		case platform.Fleet:
 			c.fleet(now, r)
 		}
 	}
+	return changed
 }
 
 // operator takes a record of an operator that was written at named or before.
@@ -277,27 +304,80 @@
 	}
 }
 
-func (c *control) upstream(now time.Time, r platform.Record, after bool) {
+// upstream takes an upstream's entry. It tells whether it changed who serves.
+func (c *control) upstream(now time.Time, r platform.Record, after bool) bool {
 	if r.Value == nil {
 		c.lapse(now, r.Key, after)
-		return
+		return true
 	}
 	u, err := platform.DecodeUpstream(r)
 	if err != nil {
 		c.metrics.Ignored("upstreams")
 		c.logger.Info("upstream: entry is ignored", zap.Int64("offset", r.Offset), zap.Error(err))
 		c.lapse(now, r.Key, false)
-		return
+		return true
 	}
 	change := c.roster.Apply(u)
-	if change == roster.Same {
-		return
+	if change == roster.Same || change == roster.Outdated {
+		return false
 	}
+
 	c.logger.Info("upstream: "+change.String(), zap.String("upstream", u.ID), zap.String("service", u.Service),
 		zap.Stringer("address", u.Address), zap.Int64("offset", r.Offset), zap.Int64("born", u.Born))
 	if change == roster.Reborn {
 		delete(c.held, u.ID)
 	}
+	return true
+}
+
+// group is the number of VMs of which one reads the upstreams' entries for all.
+const group = 8
+
+// loanRecords bounds the records of one datagram.
+const loanRecords = 3
+
+// lend passes on what changed about upstreams, if this VM is the first one of
+// its group that lives. The others read themselves if nothing comes.
+func (c *control) lend(from, next int64, changed []platform.Record) {
+	names, peers := []string{c.self.Name}, map[string]netip.AddrPort{}
+	for _, n := range c.gossip.Known() {
+		if n.Status <= gossip.Leaving {
+			names = append(names, n.VM.Name)
+			peers[n.VM.Name] = n.VM.Peer
+		}
+	}
+	slices.Sort(names)
+	self := slices.Index(names, c.self.Name)
+	lends := self%group == 0 && !c.leaving
+	c.lends(lends)
+	if !lends {
+		return
+	}
+	members := names[self+1 : min(self+group, len(names))]
+	for {
+		count := min(len(changed), loanRecords)
+		l := loan{From: from, Next: next, Records: changed[:count]}
+		if changed = changed[count:]; len(changed) > 0 {
+			l.Next = changed[0].Offset
+		}
+		for _, name := range members {
+			c.wire.send(peers[name], packet{Loan: &l})
+		}
+		if from = l.Next; len(changed) == 0 {
+			return
+		}
+	}
+}
+
+// loan takes what a peer lent.
+func (c *control) loan(now time.Time, l *loan) {
+	if c.borrow != nil && c.borrow(l.From, l.Next) {
+		c.records(now, platform.Upstreams, l.Records, false, false)
+		c.applied = max(c.applied, l.Next)
+		if len(l.Records) > 0 {
+			c.settle(now)
+		}
+	}
 }
 
 // lapse takes that an upstream's entry is missing.
@@ -515,6 +595,10 @@
 	if len(due) == 0 {
 		return
 	}
+	if now.Sub(c.tailAt) > tailAge {
+		c.refresh() // others may have claimed meanwhile
+		return
+	}
 	c.write(ctx, due, false)
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -32,6 +32,7 @@
 	orderTimeout  = 150 * time.Millisecond // of an order to an engine, some round trips and a pause of the VM
 	longPoll      = 20 * time.Second       // for new records of operators and the fleet
 	rosterShare   = 0.5                    // of the bound for leaving upstreams, between reads of their entries
+	fleetPause    = time.Second            // between reads of the fleet's records, many of which come at once
 	dialTimeout   = 400 * time.Millisecond // for a connection to an upstream, some round trips
 	linkIdle      = 4 * time.Second        // of a connection to an upstream that names no time
 	linksKept     = 64                     // idle connections to one upstream
@@ -90,8 +91,10 @@
 		return err
 	}
 	operator := v.feed(platform.Operator, longPoll, 0)
-	fleet := v.feed(platform.Fleet, longPoll, 0)
+	fleet := v.feed(platform.Fleet, longPoll, fleetPause)
+	c.refresh = fleet.refresh
 	upstreams := v.feed(platform.Upstreams, 0, time.Duration(rosterShare*float64(s.Bounds.Drain)))
+	c.borrow, c.lends = upstreams.lend, upstreams.lends.Store
 	upstreams.onUp = func() {
 		operator.restart()
 		fleet.restart()
--- a/internal/edge/feed.go
+++ b/internal/edge/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,7 +21,11 @@
 	wait   time.Duration // for new records
 	pause  time.Duration // between two reads
 	mu     sync.Mutex
-	cancel context.CancelFunc // of the read under way
+	cancel context.CancelFunc // of the read or pause under way
+	asked  bool               // the next read does not wait, and is told even if it is empty
+	next   int64              // offset from which the next read continues; -1 to list
+	lends  atomic.Bool        // this VM reads for others too
+	lent   bool               // records came from a peer during the pause under way
 	down   bool
 	onUp   func() // called when the store is back
 }
@@ -35,59 +40,118 @@
 // read is what was appended to a topic.
 type read struct {
 	topic platform.Topic
+	from  int64 // offset of the first record that was asked for
 	batch platform.Batch
 	after bool // reads had failed before
 }
 
-// retryPause is the time between two failed calls of the store.
-const retryPause = 200 * time.Millisecond
+// retryPause and retryMost bound the time between two failed calls of the
+// store.
+const (
+	retryPause = 200 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+)
 
 func (f *feed) loop(ctx context.Context) {
-	next := int64(-1)
+	f.set(-1)
+	pause := retryPause
 	for ctx.Err() == nil {
-		batch, err := f.call(ctx, next)
+		next := f.offset()
+		batch, asked, err := f.call(ctx, next)
 		switch {
 		case errors.Is(err, platform.ErrTrimmed):
 			f.logger.Info("store: records were trimmed, listing", zap.String("topic", string(f.topic)))
-			next = -1
+			f.set(-1)
 			continue
 		case errors.Is(err, errRestarted):
 			continue
 		case err != nil:
 			f.failed(err)
-			f.sleep(ctx, retryPause)
+			f.sleep(ctx, pause)
+			pause = min(2*pause, retryMost)
 			continue
 		}
+		pause = retryPause
 		after := f.worked()
 		if next < 0 {
 			f.post(listed{topic: f.topic, batch: batch, after: after})
-		} else if len(batch.Records) > 0 || after {
-			f.post(read{topic: f.topic, batch: batch, after: after})
+		} else if len(batch.Records) > 0 || after || asked {
+			f.post(read{topic: f.topic, from: next, batch: batch, after: after})
+		}
+		f.set(batch.Next)
+		pauseNow := f.pause
+		if f.lends.Load() {
+			pauseNow = time.Duration(lenderShare * float64(f.pause))
 		}
-		next = batch.Next
-		f.sleep(ctx, f.pause)
+		f.sleep(ctx, pauseNow)
 	}
 }
 
-var errRestarted = errors.New("read was started anew")
+// lenderShare is the part of the pause between reads that a VM takes which
+// reads for others too, so that its records come before their own read.
+const lenderShare = 0.8
 
-func (f *feed) call(ctx context.Context, next int64) (platform.Batch, error) {
-	bounded, cancel := context.WithCancel(ctx)
-	defer cancel()
+func (f *feed) offset() int64 {
 	f.mu.Lock()
-	f.cancel = cancel
-	f.mu.Unlock()
+	defer f.mu.Unlock()
+	return f.next
+}
+
+func (f *feed) set(next int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if next < 0 || next > f.next { // a peer may have lent more meanwhile
+		f.next = next
+	}
+}
+
+// lend takes that a peer lent the records between two offsets. It tells
+// whether they continue what was read.
+func (f *feed) lend(from, next int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.next < 0 || from > f.next || next < f.next {
+		return false
+	}
+	f.next, f.lent = next, true
+	return true
+}
+
+var errRestarted = errors.New("read was started anew")
+
+// call lists the topic or reads on. It tells whether the read was asked for.
+func (f *feed) call(ctx context.Context, next int64) (platform.Batch, bool, error) {
+	bounded, asked := f.begin(ctx)
 	if next < 0 {
-		return f.store.Newest(bounded, f.topic)
+		batch, err := f.store.Newest(bounded, f.topic)
+		return batch, asked, err
+	}
+	wait := f.wait
+	if asked {
+		wait = 0
 	}
-	batch, err := f.store.Read(bounded, f.topic, next, f.wait)
+	batch, err := f.store.Read(bounded, f.topic, next, wait)
 	if err != nil && bounded.Err() != nil && ctx.Err() == nil {
-		return batch, errRestarted
+		return batch, asked, errRestarted
 	}
-	return batch, err
+	return batch, asked, err
 }
 
-// restart starts the read under way anew, since its connection may be silent.
+// begin returns a context for a read or a pause that restart ends.
+func (f *feed) begin(ctx context.Context) (context.Context, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cancel != nil {
+		f.cancel()
+	}
+	bounded, cancel := context.WithCancel(ctx)
+	f.cancel = cancel
+	asked := f.asked
+	f.asked = false
+	return bounded, asked
+}
+
+// restart ends the read or pause under way, since its connection may be silent.
 func (f *feed) restart() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -96,6 +160,14 @@
 	}
 }
 
+// refresh asks for a read at once.
+func (f *feed) refresh() {
+	f.mu.Lock()
+	f.asked = true
+	f.mu.Unlock()
+	f.restart()
+}
+
 func (f *feed) failed(err error) {
 	if !f.down {
 		f.logger.Warn("store: lost", zap.String("topic", string(f.topic)), zap.Error(err))
@@ -117,12 +189,24 @@
 	return was
 }
 
+// sleep pauses until the next read. Records that a peer lends put the read off.
 func (f *feed) sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
+	for d > 0 {
+		f.mu.Lock()
+		if f.asked {
+			f.mu.Unlock()
+			return
+		}
+		bounded, cancel := context.WithTimeout(ctx, d)
+		f.cancel, f.lent = cancel, false
+		f.mu.Unlock()
+		<-bounded.Done()
+		cancel()
+		f.mu.Lock()
+		again := f.lent && !f.asked && ctx.Err() == nil
+		f.mu.Unlock()
+		if !again {
+			return
+		}
 	}
 }
--- a/internal/edge/hold.go
+++ b/internal/edge/hold.go
@@ -19,6 +19,8 @@
 	switch {
 	case p.Probe != nil:
 		c.probe(now, r.from, p.Probe)
+	case p.Loan != nil:
+		c.loan(now, p.Loan)
 	case p.Answer != nil:
 		c.desk.answered(p.Answer)
 	case p.Ask != nil:
--- a/internal/edge/packet.go
+++ b/internal/edge/packet.go
@@ -12,6 +12,7 @@
 	"github.com/tanagerlb/tanagerlb/pkg/call"
 	"github.com/tanagerlb/tanagerlb/pkg/engine"
 	"github.com/tanagerlb/tanagerlb/pkg/gossip"
+	"github.com/tanagerlb/tanagerlb/platform"
 )
 
 // packet is what VMs send each other, as one datagram. One of its parts is set.
@@ -21,6 +22,7 @@
 	Answer *answer `msgpack:"v,omitempty"`
 	Began  *began  `msgpack:"b,omitempty"`
 	End    *end    `msgpack:"e,omitempty"`
+	Loan   *loan   `msgpack:"l,omitempty"`
 }
 
 // probe asks for an answer, or answers, and carries news of the fleet.
@@ -73,6 +75,14 @@
 	Outcome engine.Outcome `msgpack:"o,omitempty"`
 }
 
+// loan lends what changed about upstreams between two offsets of their topic,
+// so that not each VM has to read it from the store.
+type loan struct {
+	From    int64             `msgpack:"f"`
+	Next    int64             `msgpack:"n"`
+	Records []platform.Record `msgpack:"r,omitempty"`
+}
+
 func newAnswer(id string, v engine.Verdict) *answer {
 	switch v := v.(type) {
 	case engine.Granted:
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -39,12 +39,12 @@
 
 // Changes of a belief.
 const (
-	Same     Change = iota
-	Added           // an upstream that was not known, or is back
-	Reborn          // started again under its id
-	Drained         // takes no new requests any more
-	Updated         // says something else of itself
-	Outdated        // an entry of an earlier start, ignored
+	Same     Change = iota // what it holds may have changed
+	Added                  // an upstream that was not known, or is back
+	Reborn                 // started again under its id
+	Drained                // takes no new requests any more
+	Updated                // has another address or service
+	Outdated               // an entry of an earlier start, ignored
 )
 
 // String returns the change's name in logs.
@@ -84,7 +84,7 @@
 	// An entry written before the notice may be read after it.
 	leaving := u.Draining && !b.Draining
 	u.Draining = u.Draining || b.Draining
-	changed := b.Address != u.Address || b.Service != u.Service || b.Orders != u.Orders
+	changed := b.Address != u.Address || b.Service != u.Service
 	t.beliefs[u.ID] = &belief{Upstream: u}
 	switch {
 	case leaving:
