feat(engine): divide a popular adapter's requests among a fixed set of engines

Cause: a popular adapter overflowed from its one engine to whichever was idle, which took places there from others and gave them up again. Change: the holder that sees its requests says among how many engines they are to be divided; the caller's VM takes the less busy one of two.

--- a/internal/edge/desk.go
+++ b/internal/edge/desk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -50,8 +51,12 @@
 	pending map[string]chan *answer
 	silent  map[string]time.Time // until when a VM is not asked
 	waits   map[string]heard     // by engine, as holders said it last
+	spreads map[engine.Name]int  // engines of an adapter, as holders said it last
 }
 
+// spreadsMost bounds the adapters whose spread is remembered.
+const spreadsMost = 5000
+
 // heard is a time to the first token that a holder told.
 type heard struct {
 	wait time.Duration
@@ -62,7 +67,7 @@
 const fresh = time.Second
 
 func newDesk(self gossip.VM, w *wire, post func(event), logger *zap.Logger) *desk {
-	d := &desk{self: self, wire: w, post: post, logger: logger, pending: map[string]chan *answer{}, silent: map[string]time.Time{}, waits: map[string]heard{}}
+	d := &desk{self: self, wire: w, post: post, logger: logger, pending: map[string]chan *answer{}, silent: map[string]time.Time{}, waits: map[string]heard{}, spreads: map[engine.Name]int{}}
 	d.holders.Store(&holders{})
 	return d
 }
@@ -91,7 +96,7 @@
 	candidates := r.order(r.ask)
 	for i := range candidates {
 		u := &candidates[i]
-		v := r.say(ctx, u, len(candidates) == 1)
+		v := r.say(ctx, u, len(candidates) == 1, i == 0)
 		switch {
 		case v == nil:
 			if place := r.direct(r.known, u, r.ask); place != nil {
@@ -110,13 +115,13 @@
 		return nil, refused
 	}
 	if u := r.idlest(candidates, least); u != nil {
-		if v := r.say(ctx, u, false); v != nil && v.place != nil {
+		if v := r.say(ctx, u, false, false); v != nil && v.place != nil {
 			return v.place, refused
 		} else if v != nil && v.refused.Reason == engine.Busy && v.refused.Wait < least {
 			best = u
 		}
 	}
-	if v := r.say(ctx, best, true); v != nil {
+	if v := r.say(ctx, best, true, false); v != nil {
 		return v.place, v.refused
 	}
 	return nil, refused
@@ -141,8 +146,8 @@
 }
 
 // say asks the holder of an engine and notes what it says.
-func (r *reservation) say(ctx context.Context, u *roster.Upstream, last bool) *verdict {
-	v := r.request(ctx, r.known, u, r.ask, last)
+func (r *reservation) say(ctx context.Context, u *roster.Upstream, last, first bool) *verdict {
+	v := r.request(ctx, r.known, u, r.ask, last, first)
 	switch {
 	case v == nil:
 		r.asked = append(r.asked, u.ID+" silent")
@@ -176,13 +181,29 @@
 	if a.Name.Adapter == "" && len(a.Parts) > 1 {
 		key += strconv.FormatUint(a.Parts[1].ID, 16)
 	}
+	spread := d.spread(a.Name)
+	top := rank.Top(key, ids, max(spread, choices))
+	d.divide(top[:min(spread, len(top))])
 	var order []roster.Upstream
-	for _, id := range rank.Top(key, ids, choices) {
+	for _, id := range top[:min(choices, len(top))] {
 		order = append(order, byID[id])
 	}
 	return order
 }
 
+// divide puts the less busy one of two engines, drawn at random, in front.
+func (d *desk) divide(ids []string) {
+	if len(ids) < 2 {
+		return
+	}
+	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.waits[ids[1]].wait < d.waits[ids[0]].wait {
+		ids[0], ids[1] = ids[1], ids[0]
+	}
+}
+
 // direct returns a place at an engine whose holder does not answer, if the
 // engine has the adapter: nobody else orders it away meanwhile.
 func (d *desk) direct(known *holders, u *roster.Upstream, a relay.Ask) *relay.Place {
@@ -208,7 +229,7 @@
 
 // request asks the holder of an engine, and waits as long as the ask is queued.
 // It returns nil if nobody answers.
-func (d *desk) request(ctx context.Context, known *holders, u *roster.Upstream, a relay.Ask, last bool) *verdict {
+func (d *desk) request(ctx context.Context, known *holders, u *roster.Upstream, a relay.Ask, last, first bool) *verdict {
 	holder, ok := known.vms[u.ID]
 	if !ok || d.shunned(holder.Name) {
 		return nil
@@ -225,8 +246,9 @@
 		d.deliver(holder, packet{Ask: &ask{
 			Engine: u.ID, ID: id, Model: a.Name.Model, Adapter: a.Name.Adapter, Prompt: a.Prompt, Output: a.Output, Parts: a.Parts,
 			Urgency: a.Urgency, Objective: a.Objective.Sub(now), Latest: a.Latest.Sub(now), Deadline: a.Deadline.Sub(now), Last: last,
-			Newest: known.versions[a.Name],
+			First: first, Spread: d.spread(a.Name), Newest: known.versions[a.Name],
 		}})
+		first = false // it is counted once
 		pause := resend
 		if heard {
 			pause = renew
@@ -245,13 +267,38 @@
 			return nil
 		case v == nil:
 		case v.Granted:
+			d.learn(a.Name, v.Spread)
 			return &verdict{place: d.granted(holder, *u, id, v.Version)}
 		default:
+			d.learn(a.Name, v.Spread)
 			return &verdict{refused: engine.Refused{Reason: v.Reason, Wait: v.Wait}}
 		}
 	}
 }
 
+// learn takes what a holder said of an adapter's spread; 0 if nothing.
+func (d *desk) learn(n engine.Name, spread int) {
+	if spread == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.spreads) >= spreadsMost {
+		clear(d.spreads)
+	}
+	if spread == 1 {
+		delete(d.spreads, n)
+		return
+	}
+	d.spreads[n] = spread
+}
+
+func (d *desk) spread(n engine.Name) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return max(d.spreads[n], 1)
+}
+
 // await returns the final answer to an ask, or nil if none came in time.
 func (d *desk) await(ctx context.Context, answers <-chan *answer, pause time.Duration) (final *answer, queued bool) {
 	timer := time.NewTimer(pause)
--- a/internal/edge/hold.go
+++ b/internal/edge/hold.go
@@ -68,12 +68,16 @@
 	verdict := h.engine.Ask(now, engine.Ask{
 		ID: a.ID, Name: name, Prompt: a.Prompt, Output: a.Output, Parts: a.Parts,
 		Urgency: a.Urgency, Objective: now.Add(a.Objective), Latest: now.Add(a.Latest), Deadline: now.Add(a.Deadline), Last: a.Last,
+		First: a.First, Spread: a.Spread,
 	})
 	if _, queued := verdict.(engine.Queued); queued {
 		h.asked[a.ID] = from
 	}
 	said := newAnswer(a.ID, verdict)
 	said.Engine, said.Idle = a.Engine, h.engine.Usage(now).Wait
+	if a.First {
+		said.Spread = h.engine.Spread(now, name, a.Spread)
+	}
 	c.desk.reply(from, said)
 	c.next(ctx, now, a.Engine, h)
 }
--- a/internal/edge/packet.go
+++ b/internal/edge/packet.go
@@ -47,6 +47,8 @@
 	Latest    time.Duration `msgpack:"n"`
 	Deadline  time.Duration `msgpack:"d"`
 	Last      bool          `msgpack:"l,omitempty"`
+	First     bool          `msgpack:"f,omitempty"`
+	Spread    int           `msgpack:"w,omitempty"`
 	Newest    int64         `msgpack:"v,omitempty"` // version of the adapter that the asking VM knows of
 }
 
@@ -59,6 +61,7 @@
 	Wait    time.Duration `msgpack:"w,omitempty"`
 	Engine  string        `msgpack:"e,omitempty"`
 	Idle    time.Duration `msgpack:"l,omitempty"` // expected time to a first token at the engine
+	Spread  int           `msgpack:"s,omitempty"` // engines among which the adapter's requests should be divided
 }
 
 // began tells that the first token of a request came.
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -9,6 +9,7 @@
 package engine
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -46,6 +47,8 @@
 	Latest    time.Time   // when a first token is of no more use, if it can come earlier
 	Deadline  time.Time   // when the whole answer is of no more use
 	Last      bool        // no better place is known; the ask may wait
+	First     bool        // this engine is asked first for the request
+	Spread    int         // engines among which the adapter's requests are divided
 
 	read int // tokens of the prompt that the engine has to read
 }
@@ -132,6 +135,7 @@
 	ready   time.Time // when it is expected to be loaded
 	began   time.Time // when its load was ordered
 	warm    bool
+	used    time.Time // when a request was granted last
 	proved  bool      // a request ran on it
 	old     *adapter  // what the version in transit replaces; nil if it replaces none
 	stale   time.Time // when a newer version was named; zero if none was
@@ -139,6 +143,7 @@
 
 type place struct {
 	Ask
+	granted  time.Time
 	expected time.Duration // to the first token, at an engine of the assumed pace
 	begun    bool
 }
@@ -163,8 +168,10 @@
 	queue    []*Ask
 	kept     *prompts
 	unread   int           // tokens of prompts that were sent and not yet read
+	prompt   float64       // tokens of a prompt that have to be read, smoothed
 	tokens   int           // tokens that the places may come to hold
 	slow     float64       // observed time to first token, as a multiple of the expected
+	span     time.Duration // of a request at the engine, smoothed
 	least    time.Duration // to a first token, as an idle engine takes it
 	failures int           // in a row
 	until    time.Time
@@ -219,6 +226,11 @@
 	// once. It rises with each load that took longer than expected, and falls
 	// with each that did not.
 	earlyFirst, earlyUp, earlyDown, earlyMost = 1.5, 1.15, 0.98, 4.0
+	// share is the part of an engine that the requests for one adapter may take
+	// before they are divided among more engines.
+	share = 0.5
+	// spreadMost bounds the engines of one adapter.
+	spreadMost = 64
 	// meterLimit bounds the adapters whose demand is remembered.
 	meterLimit = 20_000
 )
@@ -229,7 +241,7 @@
 // given at opens.
 func New(c Config, opens time.Time) *Engine {
 	return &Engine{
-		config: c, opens: opens, slow: 1, least: first, early: earlyFirst,
+		config: c, opens: opens, slow: 1, least: first, span: time.Second, early: earlyFirst,
 		models: map[string]bool{}, adapters: map[Name]*adapter{}, recent: map[Name]time.Time{},
 		newest: map[Name]Version{}, meters: map[Name]*demand.Meter{}, places: map[string]*place{}, kept: newPrompts(c.Memory),
 	}
@@ -248,7 +260,9 @@
 			return Queued{Wait: wait}
 		}
 	}
-	e.meter(now, a.Name)
+	if a.First {
+		e.meter(now, a.Name)
+	}
 	if e.failures >= failing && (now.Before(e.until) || e.trial != "") {
 		return Refused{Reason: Silent, Wait: max(e.until.Sub(now), 0)}
 	}
@@ -260,7 +274,7 @@
 		return Refused{Reason: Hopeless, Wait: wait}
 	}
 	if e.fits(now, &a) {
-		return e.grant(&a)
+		return e.grant(now, &a)
 	}
 	e.queue = append(e.queue, &a)
 	return Queued{Wait: wait}
@@ -281,6 +295,21 @@
 	m.Add(now, memory)
 }
 
+// Spread returns among how many engines the requests for an adapter should be
+// divided, if they are divided among spread now: so many that they take no more
+// than a share of this engine's batch and reading.
+func (e *Engine) Spread(now time.Time, n Name, spread int) int {
+	m, ok := e.meters[n]
+	if !ok || n.Adapter == "" {
+		return 1
+	}
+	rate := m.Rate(now, memory)
+	batch := rate * e.span.Seconds() / float64(max(e.config.Batch, 1))
+	read := rate * e.prompt / pace / 1000
+	wanted := math.Ceil(float64(max(spread, 1)) * max(batch, read) / share)
+	return int(min(max(wanted, 1), spreadMost))
+}
+
 // wait returns the time to the first token of a prompt that is sent now.
 func (e *Engine) wait(prompt int) time.Duration {
 	return time.Duration(e.slow * float64(reading(e.unread+prompt)))
@@ -388,13 +417,14 @@
 		float64(e.tokens+a.Prompt+a.Output) <= fill*float64(e.config.Memory)
 }
 
-func (e *Engine) grant(a *Ask) Granted {
+func (e *Engine) grant(now time.Time, a *Ask) Granted {
 	if r, ok := e.adapters[a.Name]; ok {
 		r.uses++
-		r.state = resident
+		r.state, r.used = resident, now
 	}
 	e.unread += a.read
-	e.places[a.ID] = &place{Ask: *a, expected: reading(e.unread)}
+	e.prompt += weight * (float64(a.read) - e.prompt)
+	e.places[a.ID] = &place{Ask: *a, granted: now, expected: reading(e.unread)}
 	e.tokens += a.Prompt + a.Output
 	if e.failures >= failing {
 		e.trial = a.ID
@@ -447,6 +477,7 @@
 	case Done:
 		if p.begun {
 			e.works()
+			e.span += time.Duration(weight * float64(now.Sub(p.granted)-e.span))
 		}
 		if r, ok := e.adapters[p.Name]; ok && p.begun && !r.warm && !r.proved {
 			r.proved = true
--- a/pkg/engine/next.go
+++ b/pkg/engine/next.go
@@ -45,7 +45,7 @@
 	for _, a := range e.queue {
 		switch {
 		case e.fits(now, a):
-			actions = append(actions, Answer{ID: a.ID, Verdict: e.grant(a)})
+			actions = append(actions, Answer{ID: a.ID, Verdict: e.grant(now, a)})
 		case now.Add(e.wait(a.read)).After(e.latest(now, a)):
 			actions = append(actions, Answer{ID: a.ID, Verdict: Refused{Reason: Hopeless, Wait: e.wait(a.read)}})
 		default:
@@ -161,6 +161,9 @@
 		if m, ok := e.meters[n]; ok {
 			rate = m.Rate(now, memory)
 		}
+		// An adapter that is here for want of room elsewhere counts as asked
+		// for once since its last use.
+		rate += 1 / max(now.Sub(r.used).Seconds(), 1) / float64(len(e.adapters))
 		if !found || rate < least || (rate == least && n.Adapter < best.Adapter) {
 			best, least, found = n, rate, true
 		}
