feat(engine): count the wait for a turn in the batch

Change: the wait counts the turns ahead; one of the idlest engines is drawn; failing engines tell a long wait; claims that conflict are spread.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strings"
@@ -81,6 +82,8 @@
 	spread = 80 * time.Millisecond
 	// claimPause is the time between two looks for engines to claim.
 	claimPause = 250 * time.Millisecond
+	// claimSpread divides the next attempts of VMs whose claims conflicted.
+	claimSpread = 600 * time.Millisecond
 	// tailAge is the age up to which what was read of the fleet topic is
 	// likely still all of it.
 	tailAge = 100 * time.Millisecond
@@ -132,6 +135,7 @@
 	lends    func(bool)                  // tells whether this VM reads upstreams' entries for others
 	borrow   func(from, next int64) bool // tells whether lent records continue what was read
 	claiming bool
+	claimAt  time.Time // before which no claim is written, after a conflict
 	leaving  bool
 	started  time.Time
 	alone    time.Time // since when no other VM was heard
@@ -211,6 +215,7 @@
 		c.claiming = false
 		if e.err != nil {
 			c.logger.Info("claim: not written", zap.Error(e.err))
+			c.claimAt = now.Add(rand.N(claimSpread)) //nolint:gosec // a share of the VMs
 		}
 		c.refresh()
 		return
@@ -564,7 +569,7 @@
 
 // claim claims engines whose holder is gone.
 func (c *control) claim(ctx context.Context, now time.Time) {
-	if c.claiming || c.leaving || c.tail < 0 || c.table == nil {
+	if c.claiming || c.leaving || now.Before(c.claimAt) || c.tail < 0 || c.table == nil {
 		return
 	}
 	live := []fence.VM{{Name: c.self.Name, Boot: c.self.Boot}}
--- a/internal/edge/desk.go
+++ b/internal/edge/desk.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -127,24 +128,32 @@
 	return nil, refused
 }
 
-// idlest returns the engine with the shortest wait that was told lately, if it
-// is shorter than that of the candidates, none of which it is.
+// idlest returns one of the engines with the shortest waits that were told
+// lately, if they are shorter than those of the candidates, none of which it
+// is. Drawing one keeps the VMs from all running to the same engine.
 func (r *reservation) idlest(candidates []roster.Upstream, least time.Duration) *roster.Upstream {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var best *roster.Upstream
+	var idle []*roster.Upstream
 	for i := range r.ask.Engines {
 		u := &r.ask.Engines[i]
 		h, ok := r.waits[u.ID]
 		asked := slices.ContainsFunc(candidates, func(c roster.Upstream) bool { return c.ID == u.ID })
 		if ok && !asked && !r.ask.Avoid[u.ID] && now.Sub(h.at) < fresh && h.wait < least/2 {
-			best, least = u, 2*h.wait
+			idle = append(idle, u)
 		}
 	}
-	return best
+	if len(idle) == 0 {
+		return nil
+	}
+	slices.SortFunc(idle, func(a, b *roster.Upstream) int { return cmp.Compare(r.waits[a.ID].wait, r.waits[b.ID].wait) })
+	return idle[rand.IntN(min(len(idle), drawn))]
 }
 
+// drawn is the number of idle engines among which one is drawn.
+const drawn = 3
+
 // say asks the holder of an engine and notes what it says.
 func (r *reservation) say(ctx context.Context, u *roster.Upstream, last, first bool) *verdict {
 	v := r.request(ctx, r.known, u, r.ask, last, first)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -28,21 +28,21 @@
 
 // Times and sizes of the interfaces.
 const (
-	storeTimeout  = 700 * time.Millisecond // of a call of the store
-	orderTimeout  = 150 * time.Millisecond // of an order to an engine, some round trips and a pause of the VM
-	longPoll      = 20 * time.Second       // for new records of operators and the fleet
-	rosterShare   = 0.5                    // of the bound for leaving upstreams, between reads of their entries
-	fleetPause    = time.Second            // between reads of the fleet's records, many of which come at once
-	dialTimeout   = 400 * time.Millisecond // for a connection to an upstream, some round trips
-	linkIdle      = 4 * time.Second        // of a connection to an upstream that names no time
-	linksKept     = 64                     // idle connections to one upstream
-	headerBytes   = 16 << 10               // of a request, before a configuration is known
-	headerTime    = 3 * time.Second        // for a request's headers
-	idleTime      = 15 * time.Second       // of a caller's connection
-	eventsWaiting = 1024                   // of the control thread
-	answerTTL     = 2 * time.Second        // for which callers keep a directory answer
-	closeReserve  = 700 * time.Millisecond // kept from the time for a shutdown
-	lingerTime    = 3 * time.Second        // for callers whose directory answer is old
+	storeTimeout  = 700 * time.Millisecond  // of a call of the store
+	orderTimeout  = 150 * time.Millisecond  // of an order to an engine, some round trips and a pause of the VM
+	longPoll      = 20 * time.Second        // for new records of operators and the fleet
+	rosterShare   = 0.5                     // of the bound for leaving upstreams, between reads of their entries
+	fleetPause    = 1500 * time.Millisecond // between reads of the fleet's records, many of which come at once
+	dialTimeout   = 400 * time.Millisecond  // for a connection to an upstream, some round trips
+	linkIdle      = 4 * time.Second         // of a connection to an upstream that names no time
+	linksKept     = 64                      // idle connections to one upstream
+	headerBytes   = 16 << 10                // of a request, before a configuration is known
+	headerTime    = 3 * time.Second         // for a request's headers
+	idleTime      = 15 * time.Second        // of a caller's connection
+	eventsWaiting = 1024                    // of the control thread
+	answerTTL     = 2 * time.Second         // for which callers keep a directory answer
+	closeReserve  = 700 * time.Millisecond  // kept from the time for a shutdown
+	lingerTime    = 3 * time.Second         // for callers whose directory answer is old
 )
 
 // VM is a running entry VM.
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -323,19 +323,30 @@
 
 // estimate returns the expected time to the first token of an ask.
 func (e *Engine) estimate(now time.Time, a *Ask) time.Duration {
-	ahead := 0
+	ahead, asks := 0, 0
 	for _, q := range e.queue {
 		if q.ID != a.ID && q.due().Before(a.due()) {
 			ahead += q.read
+			asks++
 		}
 	}
-	wait := e.wait(a.read + ahead)
+	wait := e.wait(a.read+ahead) + e.turn(asks)
 	if !e.present(now, a.Name) {
 		wait += e.loadWait(now, a.Name)
 	}
 	return wait
 }
 
+// turn returns the expected time until the batch has room for one more request
+// after those that wait before it.
+func (e *Engine) turn(ahead int) time.Duration {
+	over := len(e.places) + ahead + 1 - e.config.Batch
+	if over <= 0 {
+		return 0
+	}
+	return time.Duration(over) * e.span / time.Duration(max(e.config.Batch, 1))
+}
+
 // latest returns when a first token is of no more use to an ask.
 func (e *Engine) latest(now time.Time, a *Ask) time.Time {
 	shortest := time.Duration(own * e.slow * float64(reading(a.read)))
--- a/pkg/engine/next.go
+++ b/pkg/engine/next.go
@@ -369,11 +369,15 @@
 	Wait                      time.Duration // expected time to the first token of a short prompt
 }
 
+// failingWait is what a failing engine adds to the time that it tells, so that
+// it is not taken for an idle one.
+const failingWait = 5 * time.Second
+
 // Usage returns how busy the engine is at now.
 func (e *Engine) Usage(now time.Time) Usage {
 	u := Usage{
 		Running: len(e.places), Queued: len(e.queue), Adapters: len(e.adapters),
-		Unread: e.unread, Slow: e.slow, Wait: e.wait(0),
+		Unread: e.unread, Slow: e.slow, Wait: e.wait(0) + e.turn(len(e.queue)),
 	}
 	for _, r := range e.adapters {
 		if r.uses > 0 {
@@ -383,6 +387,9 @@
 			u.Coming++
 		}
 	}
+	if e.failures >= failing {
+		u.Wait += failingWait
+	}
 	for _, a := range e.queue {
 		if !e.present(now, a.Name) {
 			u.Blocked++
