--- a/cmd/tanagerlb/edge.go
+++ b/cmd/tanagerlb/edge.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"os/signal"
@@ -10,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/tanagerlb/tanagerlb/internal/edge"
+	"github.com/tanagerlb/tanagerlb/internal/lines"
 	"github.com/tanagerlb/tanagerlb/platform"
 )
 
@@ -18,6 +20,9 @@
 	Level    string `long:"level" default:"info" value-name:"LEVEL" description:"Least level of log lines: debug, info, warn or error"`
 }
 
+// lastLines bounds the wait for the last log lines.
+const lastLines = 100 * time.Millisecond
+
 // Execute runs the command.
 func (c *edgeCommand) Execute([]string) error {
 	path := c.Settings
@@ -28,10 +33,14 @@
 	if err != nil {
 		return err
 	}
-	logger, err := newLogger(c.Level)
+	ctx, cancel := context.WithCancel(context.Background())
+	logger, writer, err := lines.Logger(ctx, c.Level)
 	if err != nil {
+		cancel()
 		return err
 	}
+	defer writer.Wait(lastLines)
+	defer cancel()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	vm, err := edge.Start(settings, logger)
--- a/internal/edge/desk.go
+++ b/internal/edge/desk.go
@@ -148,11 +148,12 @@
 		return nil
 	}
 	slices.SortFunc(idle, func(a, b *roster.Upstream) int { return cmp.Compare(r.waits[a.ID].wait, r.waits[b.ID].wait) })
-	return idle[rand.IntN(min(len(idle), drawn))]
+	return idle[rand.IntN(min(len(idle), 1+len(r.ask.Engines)/drawn))] //nolint:gosec // a share of the traffic
 }
 
-// drawn is the number of idle engines among which one is drawn.
-const drawn = 3
+// drawn is the number of engines for each further idle one of which one is
+// drawn.
+const drawn = 24
 
 // say asks the holder of an engine and notes what it says.
 func (r *reservation) say(ctx context.Context, u *roster.Upstream, last, first bool) *verdict {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -175,7 +175,6 @@
 // answer was read to its end and belonged to the request.
 func (x *Exchange) Close(now time.Time, whole bool) {
 	live := x.stop()
-	_ = x.Response.Body.Close()
 	select {
 	case err := <-x.sent:
 		whole = whole && err == nil
@@ -184,9 +183,11 @@
 	}
 	idle := x.idleTime()
 	if !live || !whole || x.Response.Close || idle <= 0 || x.conn.reader.Buffered() > 0 {
-		_ = x.conn.Close()
+		_ = x.conn.Close() // first, as closing a body reads the rest of it
+		_ = x.Response.Body.Close()
 		return
 	}
+	_ = x.Response.Body.Close()
 	x.conn.used, x.conn.until = now, now.Add(idle)
 	x.pool.put(x.at, x.conn)
 }
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -142,8 +142,7 @@
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
 		x.w.WriteHeader(r.status)
 		_, _ = x.w.Write(r.body) // the caller may have left
-		x.config.Metrics.Done(x.route.Kind.String())
-		x.config.Metrics.Latency(x.route.Kind.String(), time.Since(x.started))
+		x.done(u.ID, r.status)
 	case r.notRun:
 		x.refuse(r.reason, come)
 	case x.late():
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -264,6 +264,15 @@
 	x.config.Logger.Info("relay: "+outcome, fields...)
 }
 
+// done counts a whole answer and writes the line of it.
+func (x *exchange) done(upstream string, status int) {
+	x.config.Metrics.Done(x.route.Kind.String())
+	x.config.Metrics.Latency(x.route.Kind.String(), time.Since(x.started))
+	x.config.Logger.Info("relay: answered", zap.String("request", x.call.ID), zap.String("upstream", upstream),
+		zap.Int("status", status), zap.Duration("after", time.Since(x.started)), zap.Int("sends", x.sends),
+		zap.String("route", x.route.Name), zap.Int64("version", x.view.Table.Version))
+}
+
 // copyHeaders writes the head of an upstream's answer.
 func (x *exchange) copyHeaders(from *http.Response) {
 	h := x.w.Header()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -204,6 +204,7 @@
 	}
 	events := bufio.NewReader(response.Body)
 	control := http.NewResponseController(x.w)
+	left := false // the caller does not read on
 	for begun := false; ; begun = true {
 		event, id, err := readEvent(events)
 		if errors.Is(err, io.EOF) && begun {
@@ -223,24 +224,25 @@
 			x.config.Metrics.First(x.route.Urgency, time.Since(x.started))
 		}
 		if _, err := x.w.Write(event); err != nil {
-			break // the caller left
+			left = true
+			break
 		}
 		if err := control.Flush(); err != nil {
+			left = true
 			break
 		}
 		if id != "" {
 			x.lastID = id
 		}
 	}
-	left := x.gone()
+	left = left || x.gone()
 	e.Close(time.Now(), !left)
 	place.End(engine.Done)
 	if left {
 		x.log("left", "caller left", 0)
 		panic(http.ErrAbortHandler)
 	}
-	x.config.Metrics.Done(x.route.Kind.String())
-	x.config.Metrics.Latency(x.route.Kind.String(), time.Since(x.started))
+	x.done(place.Upstream.ID, response.StatusCode)
 	return false
 }
 
@@ -256,7 +258,7 @@
 	} else {
 		place.End(engine.Done)
 	}
-	x.log("answered", "engine's own answer", e.Response.StatusCode)
+	x.done(place.Upstream.ID, e.Response.StatusCode)
 	if x.headers {
 		x.fail(e.Response.StatusCode, "engine failed to resume")
 		return false
