--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -128,12 +128,13 @@
 	gossip   *gossip.Table
 	versions map[engine.Name]engine.Version
 	held     map[string]*holder
-	tail     int64                       // offset at which the fleet topic ends; -1 before it was read
-	tailAt   time.Time                   // when the fleet topic was read last
-	refresh  func()                      // asks for a read of the fleet topic
-	applied  int64                       // offset up to which the upstreams' records were taken
-	lends    func(bool)                  // tells whether this VM reads upstreams' entries for others
-	borrow   func(from, next int64) bool // tells whether lent records continue what was read
+	newest   map[platform.Topic]map[string]platform.Record // to be lent to peers
+	tail     int64                                         // offset at which the fleet topic ends; -1 before it was read
+	tailAt   time.Time                                     // when the fleet topic was read last
+	refresh  func()                                        // asks for a read of the fleet topic
+	applied  int64                                         // offset up to which the upstreams' records were taken
+	lends    func(bool)                                    // tells whether this VM reads upstreams' entries for others
+	borrow   func(from, next int64) bool                   // tells whether lent records continue what was read
 	claiming bool
 	claimAt  time.Time // before which no claim is written, after a conflict
 	leaving  bool
@@ -219,6 +220,11 @@
 		}
 		c.refresh()
 		return
+	case lendState:
+		c.lendState(e.reply)
+		return
+	case borrowed:
+		c.takeState(now, e.state)
 	case leave:
 		c.leave(ctx, now)
 	}
@@ -231,6 +237,7 @@
 
 // list takes all records of a topic.
 func (c *control) list(now time.Time, e listed) {
+	delete(c.newest, e.topic)
 	if e.topic == platform.Upstreams {
 		there := make(map[string]bool, len(e.batch.Records))
 		for _, r := range e.batch.Records {
@@ -261,6 +268,7 @@
 		named = now.Add(-c.settings.Bounds.Versions)
 	}
 	for _, r := range records {
+		c.remember(topic, r)
 		switch topic {
 		case platform.Operator:
 			c.operator(named, r)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -105,6 +105,7 @@
 	for _, f := range []*feed{operator, fleet, upstreams} {
 		go f.loop(ctx)
 	}
+	go (&borrower{vm: v, seeds: s.Seeds, port: s.Peer.Port(), http: &http.Client{}}).run(ctx)
 	go (&announceJob{store: c.store, self: self, logger: v.logger}).run(ctx)
 	return nil
 }
@@ -123,7 +124,7 @@
 		store:   platform.NewStore(platform.StoreConfig{Address: v.settings.Store, Timeout: storeTimeout}),
 		engines: platform.NewEngines(platform.EngineConfig{Timeout: orderTimeout}),
 		events:  make(chan event, eventsWaiting),
-		roster:  roster.New(), fence: fence.New(), versions: map[engine.Name]engine.Version{}, held: map[string]*holder{},
+		roster:  roster.New(), fence: fence.New(), versions: map[engine.Name]engine.Version{}, newest: map[platform.Topic]map[string]platform.Record{}, held: map[string]*holder{},
 		tail: -1, drop: v.links.Drop,
 		gossip: gossip.New(gossip.Config{
 			Patience: 200 * time.Millisecond, Suspicion: time.Second, Share: 6, Pause: 400 * time.Millisecond,
@@ -206,6 +207,8 @@
 	ready.HandleFunc(platform.ReadyPath, v.ready)
 	resolve := http.NewServeMux()
 	resolve.HandleFunc(platform.ResolvePath, v.resolve)
+	peers := http.NewServeMux()
+	peers.HandleFunc(statePath, v.serveState)
 	metrics := http.NewServeMux()
 	metrics.HandleFunc("/metrics", v.serveMetrics)
 	for _, s := range []struct {
@@ -215,6 +218,7 @@
 		{v.settings.Caller, v.callers},
 		{v.settings.Ready, &http.Server{Handler: ready, ReadHeaderTimeout: headerTime}},
 		{v.settings.Directory, &http.Server{Handler: resolve, ReadHeaderTimeout: headerTime}},
+		{v.settings.Peer, &http.Server{Handler: peers, ReadHeaderTimeout: headerTime}},
 		{v.settings.Metrics, &http.Server{Handler: metrics, ReadHeaderTimeout: headerTime}},
 	} {
 		listener, err := net.Listen("tcp", s.at.String()) //nolint:noctx // at the start
