--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -122,25 +122,28 @@
 	directory atomic.Pointer[directory]
 	drop      func(netip.AddrPort) // closes connections to an upstream that left
 
-	table    *route.Table
-	roster   *roster.Table
-	fence    *fence.Table
-	gossip   *gossip.Table
-	versions map[engine.Name]engine.Version
-	held     map[string]*holder
-	newest   map[platform.Topic]map[string]platform.Record // to be lent to peers
-	tail     int64                                         // offset at which the fleet topic ends; -1 before it was read
-	tailAt   time.Time                                     // when the fleet topic was read last
-	refresh  func()                                        // asks for a read of the fleet topic
-	applied  int64                                         // offset up to which the upstreams' records were taken
-	lends    func(bool)                                    // tells whether this VM reads upstreams' entries for others
-	borrow   func(from, next int64) bool                   // tells whether lent records continue what was read
-	claiming bool
-	claimAt  time.Time // before which no claim is written, after a conflict
-	leaving  bool
-	started  time.Time
-	alone    time.Time // since when no other VM was heard
-	tried    time.Time // when engines to claim were last looked for
+	table     *route.Table
+	roster    *roster.Table
+	fence     *fence.Table
+	gossip    *gossip.Table
+	versions  map[engine.Name]engine.Version
+	held      map[string]*holder
+	newest    map[platform.Topic]map[string]platform.Record // to be lent to peers
+	tail      int64                                         // offset at which the fleet topic ends; -1 before it was read
+	tailAt    time.Time                                     // when the fleet topic was read last
+	refresh   func()                                        // asks for a read of the fleet topic
+	reread    func()                                        // starts the read of the operators' records anew
+	operators int64                                         // offset up to which the operators' records were read
+	behind    time.Time                                     // since when peers have read more of them; zero if they have not
+	applied   int64                                         // offset up to which the upstreams' records were taken
+	lends     func(bool)                                    // tells whether this VM reads upstreams' entries for others
+	borrow    func(from, next int64) bool                   // tells whether lent records continue what was read
+	claiming  bool
+	claimAt   time.Time // before which no claim is written, after a conflict
+	leaving   bool
+	started   time.Time
+	alone     time.Time // since when no other VM was heard
+	tried     time.Time // when engines to claim were last looked for
 }
 
 // holder is an engine that this VM schedules.
@@ -197,10 +200,12 @@
 		c.list(now, e)
 	case read:
 		changed := c.records(now, e.topic, e.batch.Records, e.after, false)
-		if e.topic == platform.Upstreams {
+		switch e.topic {
+		case platform.Upstreams:
 			c.lend(e.from, e.batch.Next, changed)
-		}
-		if e.topic == platform.Fleet {
+		case platform.Operator:
+			c.operators = e.batch.Next
+		case platform.Fleet:
 			c.tail, c.tailAt = e.batch.Next, now
 		}
 	case received:
@@ -250,10 +255,12 @@
 		}
 	}
 	c.records(now, e.topic, e.batch.Records, e.after, true)
-	if e.topic == platform.Upstreams {
+	switch e.topic {
+	case platform.Upstreams:
 		c.applied = e.batch.Next
-	}
-	if e.topic == platform.Fleet {
+	case platform.Operator:
+		c.operators = e.batch.Next
+	case platform.Fleet:
 		c.tail, c.tailAt = e.batch.Next, now
 	}
 }
@@ -562,7 +569,7 @@
 func (c *control) tick(ctx context.Context, now time.Time) {
 	probes, changed := c.gossip.Tick(now)
 	for _, vm := range probes {
-		c.wire.send(vm.Peer, packet{Probe: &probe{From: c.gossip.Self(), News: c.gossip.Share()}})
+		c.wire.send(vm.Peer, packet{Probe: &probe{From: c.gossip.Self(), News: c.gossip.Share(), Next: c.operators}})
 	}
 	for _, n := range changed {
 		c.logger.Info("peer: "+n.Status.String(), zap.String("vm", n.VM.Name), zap.Int64("boot", n.VM.Boot))
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -92,7 +92,7 @@
 	}
 	operator := v.feed(platform.Operator, longPoll, 0)
 	fleet := v.feed(platform.Fleet, longPoll, fleetPause)
-	c.refresh = fleet.refresh
+	c.refresh, c.reread = fleet.refresh, operator.restart
 	upstreams := v.feed(platform.Upstreams, 0, time.Duration(rosterShare*float64(s.Bounds.Drain)))
 	c.borrow, c.lends = upstreams.lend, upstreams.lends.Store
 	upstreams.onUp = func() {
--- a/internal/edge/hold.go
+++ b/internal/edge/hold.go
@@ -45,18 +45,37 @@
 }
 
 func (c *control) probe(now time.Time, from netip.AddrPort, p *probe) {
+	c.compare(now, p.Next)
 	changed := c.gossip.Heard(now, p.From)
 	for _, n := range p.News {
 		changed = c.gossip.Learn(now, n) || changed
 	}
 	if !p.Reply {
-		c.wire.send(from, packet{Probe: &probe{From: c.gossip.Self(), News: c.gossip.Share(), Reply: true}})
+		c.wire.send(from, packet{Probe: &probe{From: c.gossip.Self(), News: c.gossip.Share(), Reply: true, Next: c.operators}})
 	}
 	if changed {
 		c.settle(now)
 	}
 }
 
+// compare reads on if a peer has read more of what operators wrote: the answer
+// to this VM's own read may have been lost.
+func (c *control) compare(now time.Time, next int64) {
+	switch {
+	case next <= c.operators:
+		c.behind = time.Time{}
+	case c.behind.IsZero():
+		c.behind = now
+	case now.Sub(c.behind) > behindTime:
+		c.logger.Info("config: a peer has read more, reading again", zap.Int64("next", c.operators), zap.Int64("peer", next))
+		c.behind = now
+		c.reread()
+	}
+}
+
+// behindTime is how long a peer may be ahead before this VM doubts its own read.
+const behindTime = 300 * time.Millisecond
+
 func (c *control) ask(ctx context.Context, now time.Time, from netip.AddrPort, a *ask) {
 	h, ok := c.held[a.Engine]
 	if !ok || h.upstream.Draining {
--- a/internal/edge/packet.go
+++ b/internal/edge/packet.go
@@ -30,6 +30,7 @@
 	From  gossip.News   `msgpack:"f"`
 	News  []gossip.News `msgpack:"n,omitempty"`
 	Reply bool          `msgpack:"r,omitempty"` // answers a probe
+	Next  int64         `msgpack:"o,omitempty"` // offset up to which the operators' records were read
 }
 
 // ask asks the holder of an engine for a place. Times are left, since clocks
