--- a/internal/edge/desk.go
+++ b/internal/edge/desk.go
@@ -244,7 +244,7 @@
 	if !ok || d.shunned(holder.Name) {
 		return nil
 	}
-	id := fmt.Sprintf("%s.%x.%x", d.self.Name, d.self.Boot, d.serial.Add(1))
+	id := d.newID()
 	answers := make(chan *answer, 4)
 	d.mu.Lock()
 	d.pending[id] = answers
@@ -309,6 +309,11 @@
 	return max(d.spreads[n], 1)
 }
 
+// newID returns an id that no ask of any VM bears.
+func (d *desk) newID() string {
+	return fmt.Sprintf("%s.%x.%x", d.self.Name, d.self.Boot, d.serial.Add(1))
+}
+
 // await returns the final answer to an ask, or nil if none came in time.
 func (d *desk) await(ctx context.Context, answers <-chan *answer, pause time.Duration) (final *answer, queued bool) {
 	timer := time.NewTimer(pause)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -80,7 +80,7 @@
 func bound(_, _ string, raw syscall.RawConn) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds())) //nolint:gosec // a descriptor
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds()))
 	})
 	if err != nil {
 		return fmt.Errorf("bound a connection: %w", err)
@@ -129,9 +129,9 @@
 		go w.run()
 	}
 	request := &http.Request{Method: r.Method, URL: &url.URL{Path: "/"}}
-	x.Response, err = http.ReadResponse(c.reader, request)
+	x.Response, err = http.ReadResponse(c.reader, request) //nolint:bodyclose // by Close
 	for err == nil && x.Response.StatusCode < http.StatusOK {
-		x.Response, err = http.ReadResponse(c.reader, request)
+		x.Response, err = http.ReadResponse(c.reader, request) //nolint:bodyclose // by Close
 	}
 	if err != nil {
 		x.stop()
@@ -251,7 +251,7 @@
 	quiet := false
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, err := syscall.Read(int(fd), b[:]) //nolint:gosec // a descriptor
+		_, err := syscall.Read(int(fd), b[:])
 		quiet = errors.Is(err, syscall.EAGAIN)
 		return true
 	})
--- a/pkg/engine/engine_test.go
+++ b/pkg/engine/engine_test.go
@@ -1,7 +1,7 @@
 package engine_test
 
 import (
-	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -126,7 +126,7 @@
 // that is still there: it then loads one too many and crashes the engine.
 func TestUnansweredReplacementKeepsPlace(t *testing.T) {
 	for _, version := range []int64{0, 1} { // 0: loaded without a version
-		t.Run(fmt.Sprint(version), func(t *testing.T) {
+		t.Run(strconv.FormatInt(version, 10), func(t *testing.T) {
 			is := is.New(t)
 			e := known(roster.Adapter{Name: "a1", Version: version}, roster.Adapter{Name: "a2", Version: 1})
 			e.Newest(name("a1"), engine.Version{Number: 2, Named: start})
@@ -217,7 +217,7 @@
 	e.Reported(start, models(), nil, 0)
 	granted := 0
 	for i := range 20 {
-		a := ask(fmt.Sprint(i), "", start)
+		a := ask(strconv.Itoa(i), "", start)
 		a.Prompt = 1000
 		a.Objective, a.Latest = start.Add(time.Duration(20-i)*time.Second), start.Add(time.Minute)
 		if _, ok := e.Ask(start, a).(engine.Granted); ok {
@@ -235,7 +235,7 @@
 	is := is.New(t)
 	e := known()
 	for i := range 40 {
-		a := ask(fmt.Sprint(i), "", start)
+		a := ask(strconv.Itoa(i), "", start)
 		a.Prompt = 2000
 		e.Ask(start, a)
 	}
@@ -275,7 +275,7 @@
 	is := is.New(t)
 	e := known()
 	for i := range 3 {
-		id := fmt.Sprint(i)
+		id := strconv.Itoa(i)
 		e.Ask(start, ask(id, "", start))
 		e.End(start, id, engine.Failed)
 	}
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -82,7 +83,7 @@
 
 func TestDeadVMIsFoundByAllAndNoOtherIs(t *testing.T) {
 	for _, size := range []int{2, 9, 100} {
-		t.Run(fmt.Sprint(size), func(t *testing.T) {
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
 			is := is.New(t)
 			f := newFleet(size)
 			f.run(2 * time.Second)
