fix(edge): hold engines again at once after a restart, lend also when nothing changed

Change: claims that take over from no live VM are unconditional; without any holder a request goes to an engine whose entry lists the adapter; lenders tell also that nothing changed, and a loan puts a read off by a pause from its time.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -137,7 +137,7 @@
 	behind    time.Time                                     // since when peers have read more of them; zero if they have not
 	applied   int64                                         // offset up to which the upstreams' records were taken
 	lends     func(bool)                                    // tells whether this VM reads upstreams' entries for others
-	borrow    func(from, next int64) bool                   // tells whether lent records continue what was read
+	borrow    func(now time.Time, from, next int64) bool    // tells whether lent records continue what was read
 	claiming  bool
 	claimAt   time.Time // before which no claim is written, after a conflict
 	leaving   bool
@@ -391,7 +391,7 @@
 
 // loan takes what a peer lent.
 func (c *control) loan(now time.Time, l *loan) {
-	if c.borrow != nil && c.borrow(l.From, l.Next) {
+	if c.borrow != nil && c.borrow(now, l.From, l.Next) {
 		c.records(now, platform.Upstreams, l.Records, false, false)
 		c.applied = max(c.applied, l.Next)
 		if len(l.Records) > 0 {
@@ -615,11 +615,33 @@
 	if len(due) == 0 {
 		return
 	}
-	if now.Sub(c.tailAt) > tailAge {
+	first, taken := c.divide(due)
+	switch {
+	case len(first) > 0:
+		c.write(ctx, first, anywhere, false)
+	case now.Sub(c.tailAt) > tailAge:
 		c.refresh() // others may have claimed meanwhile
-		return
+	default:
+		c.write(ctx, taken, c.tail, false)
+	}
+}
+
+// anywhere tells that records are appended wherever the topic ends.
+const anywhere = -1
+
+// divide tells engines that no other VM may be ordering from those that are
+// taken over. Claims of the first need no condition: if two VMs claim one, the
+// later record counts, and its VM waits for the other's lease.
+func (c *control) divide(due []string) (first, taken []string) {
+	for _, id := range due {
+		h, ok := c.fence.Of(id)
+		if !ok || h.Free || h.VM == c.self.Name {
+			first = append(first, id)
+		} else {
+			taken = append(taken, id)
+		}
 	}
-	c.write(ctx, due, false)
+	return first, taken
 }
 
 // reclaim claims the engines that an earlier run of this VM's process held.
@@ -632,14 +654,14 @@
 		}
 	}
 	if len(own) > 0 {
-		c.write(ctx, own, false)
+		c.write(ctx, own, anywhere, false)
 	}
 }
 
-// write appends claims of this VM, on the condition that it has read all
-// others.
-func (c *control) write(ctx context.Context, engines []string, free bool) {
-	j := &claimJob{store: c.store, post: c.post, at: c.tail}
+// write appends claims of this VM, on the condition that the topic ends at an
+// offset.
+func (c *control) write(ctx context.Context, engines []string, at int64, free bool) {
+	j := &claimJob{store: c.store, post: c.post, at: at}
 	for _, id := range engines {
 		value, err := json.Marshal(fence.Claim{Engine: id, VM: c.self.Name, Boot: c.self.Boot, Free: free})
 		if err != nil {
@@ -649,7 +671,7 @@
 		j.records = append(j.records, platform.Record{Key: keyClaim + id, Value: value})
 	}
 	c.claiming = true
-	c.logger.Info("claim: claiming", zap.Strings("upstreams", engines), zap.Int64("at", c.tail), zap.Bool("free", free))
+	c.logger.Info("claim: claiming", zap.Strings("upstreams", engines), zap.Int64("at", at), zap.Bool("free", free))
 	go j.run(ctx)
 }
 
@@ -679,7 +701,7 @@
 	}
 	slices.Sort(engines)
 	if len(engines) > 0 {
-		c.write(ctx, engines, true)
+		c.write(ctx, engines, c.tail, true)
 	}
 	c.logger.Info("vm: leaving", zap.Int("engines", len(engines)), zap.Duration("after", now.Sub(c.started)))
 }
--- a/internal/edge/control_test.go
+++ b/internal/edge/control_test.go
@@ -62,7 +62,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			f := &feed{next: c.next}
-			is.Equal(f.lend(c.from, c.lent), c.taken)
+			is.Equal(f.lend(start, c.from, c.lent), c.taken)
 			want := c.next
 			if c.taken {
 				want = c.lent
@@ -75,7 +75,7 @@
 func TestOwnReadNeverFallsBehindALoan(t *testing.T) {
 	is := is.New(t)
 	f := &feed{next: 10}
-	is.True(f.lend(10, 20))
+	is.True(f.lend(start, 10, 20))
 	f.set(15) // the answer to a read that was under way
 	is.Equal(f.offset(), int64(20))
 	f.set(-1) // records were trimmed
--- a/internal/edge/desk.go
+++ b/internal/edge/desk.go
@@ -113,7 +113,7 @@
 		}
 	}
 	if best == nil {
-		return nil, refused
+		return r.anyDirect(), refused
 	}
 	if u := r.idlest(candidates, least); u != nil {
 		if v := r.say(ctx, u, false, false); v != nil && v.place != nil {
@@ -128,6 +128,23 @@
 	return nil, refused
 }
 
+// anyDirect returns a place at some engine without a holder that has the
+// adapter, as when all VMs start again. Each VM begins elsewhere.
+func (r *reservation) anyDirect() *relay.Place {
+	begin := rand.IntN(len(r.ask.Engines) + 1) //nolint:gosec // a share of the traffic
+	for i := range r.ask.Engines {
+		u := &r.ask.Engines[(begin+i)%len(r.ask.Engines)]
+		if _, held := r.known.vms[u.ID]; held || r.ask.Avoid[u.ID] {
+			continue
+		}
+		if place := r.direct(r.known, u, r.ask); place != nil {
+			r.asked = append(r.asked, u.ID+" without a holder")
+			return place
+		}
+	}
+	return nil
+}
+
 // idlest returns one of the engines with the shortest waits that were told
 // lately, if they are shorter than those of the candidates, none of which it
 // is. Drawing one keeps the VMs from all running to the same engine.
--- a/internal/edge/feed.go
+++ b/internal/edge/feed.go
@@ -25,7 +25,7 @@
 	asked  bool               // the next read does not wait, and is told even if it is empty
 	next   int64              // offset from which the next read continues; -1 to list
 	lends  atomic.Bool        // this VM reads for others too
-	lent   bool               // records came from a peer during the pause under way
+	lent   time.Time          // when a peer lent records last
 	down   bool
 	onUp   func() // called when the store is back
 }
@@ -75,7 +75,7 @@
 		after := f.worked()
 		if next < 0 {
 			f.post(listed{topic: f.topic, batch: batch, after: after})
-		} else if len(batch.Records) > 0 || after || asked {
+		} else if len(batch.Records) > 0 || after || asked || f.lends.Load() {
 			f.post(read{topic: f.topic, from: next, batch: batch, after: after})
 		}
 		f.set(batch.Next)
@@ -107,13 +107,13 @@
 
 // lend takes that a peer lent the records between two offsets. It tells
 // whether they continue what was read.
-func (f *feed) lend(from, next int64) bool {
+func (f *feed) lend(now time.Time, from, next int64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.next < 0 || from > f.next || next < f.next {
 		return false
 	}
-	f.next, f.lent = next, true
+	f.next, f.lent = next, now
 	return true
 }
 
@@ -189,24 +189,29 @@
 	return was
 }
 
-// sleep pauses until the next read. Records that a peer lends put the read off.
+// sleep pauses until the next read. Records that a peer lends meanwhile put the
+// read off, to a pause after they came.
 func (f *feed) sleep(ctx context.Context, d time.Duration) {
-	for d > 0 {
+	until := time.Now().Add(d)
+	for left := d; left > 0 && ctx.Err() == nil; left = time.Until(until) {
 		f.mu.Lock()
 		if f.asked {
 			f.mu.Unlock()
 			return
 		}
-		bounded, cancel := context.WithTimeout(ctx, d)
-		f.cancel, f.lent = cancel, false
+		bounded, cancel := context.WithTimeout(ctx, left)
+		f.cancel = cancel
 		f.mu.Unlock()
 		<-bounded.Done()
+		restarted := errors.Is(bounded.Err(), context.Canceled)
 		cancel()
-		f.mu.Lock()
-		again := f.lent && !f.asked && ctx.Err() == nil
-		f.mu.Unlock()
-		if !again {
+		if restarted {
 			return
 		}
+		f.mu.Lock()
+		if t := f.lent.Add(d); t.After(until) {
+			until = t
+		}
+		f.mu.Unlock()
 	}
 }
--- a/pkg/engine/engine_test.go
+++ b/pkg/engine/engine_test.go
@@ -288,3 +288,41 @@
 	_, granted = e.Ask(later, ask("z", "", later)).(engine.Granted)
 	is.True(granted)
 }
+
+func TestSpreadFollowsDemand(t *testing.T) {
+	is := is.New(t)
+	c := config()
+	c.Batch = 12
+	e := engine.New(c, start)
+	e.Next(start)
+	e.Reported(start, models(roster.Adapter{Name: "hot", Version: 1}, roster.Adapter{Name: "rare", Version: 1}), nil, 0)
+	now := start
+	for i := range 600 { // 60 requests a second, of a second each, for one engine of 12
+		now = start.Add(time.Duration(i) * time.Second / 60)
+		a := ask(strconv.Itoa(i), "hot", now)
+		a.First = true
+		e.Ask(now, a)
+		e.End(now, a.ID, engine.Absent)
+	}
+	a := ask("x", "rare", now)
+	a.First = true
+	e.Ask(now, a)
+	is.Equal(e.Spread(now, name("rare"), 1), 1)
+	hot := e.Spread(now, name("hot"), 1)
+	is.True(hot >= 8 && hot <= 14) // half of 12 places for each engine
+	double := e.Spread(now, name("hot"), 2) // of which this engine sees half
+	is.True(double >= 2*hot-1 && double <= 2*hot)
+	is.True(e.Spread(now.Add(time.Minute), name("hot"), 1) < 3) // demand moves on
+}
+
+func TestWaitCountsTurns(t *testing.T) {
+	is := is.New(t)
+	e := known()
+	for i := range 24 { // thrice the batch
+		a := ask(strconv.Itoa(i), "", start)
+		a.Prompt, a.Latest = 1, start.Add(time.Minute)
+		e.Ask(start, a)
+	}
+	is.Equal(e.Usage(start).Running, 8)
+	is.True(e.Usage(start).Wait > 1500*time.Millisecond) // two rounds of a second each
+}
