--- /dev/null
+++ b/internal/edge/publish.go
@@ -0,0 +1,59 @@
+package edge
+
+import (
+	"github.com/tanagerlb/tanagerlb/internal/relay"
+	"github.com/tanagerlb/tanagerlb/pkg/engine"
+	"github.com/tanagerlb/tanagerlb/pkg/gossip"
+	"github.com/tanagerlb/tanagerlb/pkg/roster"
+)
+
+// directory is who may be named to callers.
+type directory struct {
+	self  gossip.VM
+	vms   []gossip.VM // alive, by name
+	ready bool        // this VM serves callers
+}
+
+// engineUpstreams returns the known upstreams that are model engines.
+func (c *control) engineUpstreams() []roster.Upstream {
+	if c.table == nil {
+		return nil
+	}
+	var list []roster.Upstream
+	for _, id := range c.roster.IDs() {
+		u, _ := c.roster.Get(id)
+		if s := c.table.Service(u.Service); s != nil && s.Engine != nil {
+			list = append(list, u)
+		}
+	}
+	return list
+}
+
+func (c *control) publish() {
+	c.view.Store(&relay.View{Table: c.table, Serving: c.roster.Serving()})
+	known := &holders{vms: map[string]gossip.VM{}, versions: make(map[engine.Name]int64, len(c.versions))}
+	for n, version := range c.versions {
+		known.versions[n] = version.Number
+	}
+	live := map[string]gossip.VM{c.self.Name: c.self}
+	d := &directory{self: c.self, ready: c.table != nil && !c.leaving}
+	if d.ready {
+		d.vms = append(d.vms, c.self)
+	}
+	for _, n := range c.gossip.Known() {
+		if n.Status <= gossip.Leaving {
+			live[n.VM.Name] = n.VM
+		}
+		if n.Status == gossip.Alive {
+			d.vms = append(d.vms, n.VM)
+		}
+	}
+	for _, u := range c.engineUpstreams() {
+		claim, ok := c.fence.Of(u.ID)
+		if vm, lives := live[claim.VM]; ok && lives && vm.Boot == claim.Boot {
+			known.vms[u.ID] = vm
+		}
+	}
+	c.desk.holders.Store(known)
+	c.directory.Store(d)
+}
