--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -244,6 +244,9 @@
 			continue
 		}
 		h.upstream = u
+		if u.Draining {
+			h.engine.Close()
+		}
 	}
 	for _, u := range c.engineUpstreams() {
 		claim, ok := c.fence.Of(u.ID)
--- a/pkg/engine/engine_test.go
+++ b/pkg/engine/engine_test.go
@@ -309,7 +309,7 @@
 	e.Ask(now, a)
 	is.Equal(e.Spread(now, name("rare"), 1), 1)
 	hot := e.Spread(now, name("hot"), 1)
-	is.True(hot >= 8 && hot <= 14) // half of 12 places for each engine
+	is.True(hot >= 8 && hot <= 14)          // half of 12 places for each engine
 	double := e.Spread(now, name("hot"), 2) // of which this engine sees half
 	is.True(double >= 2*hot-1 && double <= 2*hot)
 	is.True(e.Spread(now.Add(time.Minute), name("hot"), 1) < 3) // demand moves on
@@ -326,3 +326,14 @@
 	is.Equal(e.Usage(start).Running, 8)
 	is.True(e.Usage(start).Wait > 1500*time.Millisecond) // two rounds of a second each
 }
+
+// Asks that wait when an engine says that it leaves must not be sent to it
+// later than it may be.
+func TestLeavingEngineAnswersItsQueue(t *testing.T) {
+	is := is.New(t)
+	e := known()
+	e.Ask(start, ask("1", "a1", start))
+	e.Close()
+	is.Equal(e.Next(start)[0], engine.Answer{ID: "1", Verdict: engine.Refused{Reason: engine.Closed}})
+	is.Equal(e.Ask(start, ask("2", "", start)), engine.Refused{Reason: engine.Closed})
+}
--- /dev/null
+++ b/pkg/engine/order.go
@@ -0,0 +1,236 @@
+package engine
+
+import (
+	"slices"
+	"time"
+)
+
+// order returns the next order, or nil.
+func (e *Engine) order(now time.Time) Action {
+	if !e.known || (!e.look.IsZero() && !now.Before(e.look)) {
+		e.look = time.Time{}
+		return Look{}
+	}
+	if now.Before(e.opens) || e.failures >= failing || e.unsure || now.Before(e.rest) {
+		return nil
+	}
+	if len(e.models) == 0 && len(e.config.Models) > 0 {
+		return e.loadModel(now)
+	}
+	if n, ok := e.outdated(); ok {
+		return e.load(now, n)
+	}
+	coming := 0
+	for _, r := range e.adapters {
+		if r.state == loading && now.Before(r.ready) {
+			coming++
+		}
+	}
+	if coming >= e.config.Transit {
+		return nil
+	}
+	for _, a := range e.queue {
+		if _, ok := e.adapters[a.Name]; ok || a.Name.Adapter == "" || !e.models[a.Name.Model] {
+			continue
+		}
+		if len(e.adapters) < e.config.Places {
+			return e.load(now, a.Name)
+		}
+		if victim, ok := e.victim(now); ok {
+			e.adapters[victim].state = leaving
+			return Unload{Name: victim, Accepted: e.orders}
+		}
+		return nil
+	}
+	return nil
+}
+
+// loadModel orders the base model of an engine that has none. While it loads,
+// the engine takes no other order.
+func (e *Engine) loadModel(now time.Time) Action {
+	if e.model != "" && now.Sub(e.ordered) < modelPatience*e.config.Model {
+		return nil
+	}
+	e.model, e.ordered = e.config.Models[0], now
+	for _, a := range e.queue {
+		if slices.Contains(e.config.Models, a.Name.Model) {
+			e.model = a.Name.Model
+			break
+		}
+	}
+	return Load{Name: Name{Model: e.model}, Accepted: e.orders}
+}
+
+// modelPatience is the multiple of the expected time after which the load of a
+// base model is ordered again.
+const modelPatience = 10
+
+// outdated returns an adapter whose newer version can be loaded in its place.
+func (e *Engine) outdated() (Name, bool) {
+	for n, r := range e.adapters {
+		// While a replacement waits for runs, the engine takes no other order.
+		if !r.stale.IsZero() && r.state == resident && r.uses == 0 {
+			return n, true
+		}
+	}
+	return Name{}, false
+}
+
+func (e *Engine) load(now time.Time, n Name) Action {
+	took := e.loadTime(n)
+	_, warm := e.recent[n]
+	r, ok := e.adapters[n]
+	if !ok {
+		r = &adapter{}
+		e.adapters[n] = r
+	}
+	if ok { // a new version, which comes from the weight store
+		warm, took = false, time.Duration(e.early*float64(e.config.Cold))
+	}
+	delete(e.recent, n)
+	next := adapter{version: e.newest[n].Number, began: now, warm: warm}
+	if ok {
+		old := *r
+		next.old = &old
+	}
+	*r = next
+	r.ready = now.Add(took)
+	return Load{Name: n, Version: e.newest[n].Number, Accepted: e.orders}
+}
+
+// victim returns the idle adapter that is least likely to be asked for soon.
+func (e *Engine) victim(now time.Time) (Name, bool) {
+	var best Name
+	found, least := false, 0.0
+	for n, r := range e.adapters {
+		if r.state != resident || r.uses > 0 || e.wanted(n) {
+			continue
+		}
+		rate := 0.0
+		if m, ok := e.meters[n]; ok {
+			rate = m.Rate(now, memory)
+		}
+		// An adapter that is here for want of room elsewhere counts as asked
+		// for once since its last use.
+		rate += 1 / max(now.Sub(r.used).Seconds(), 1) / float64(len(e.adapters))
+		if !found || rate < least || (rate == least && n.Adapter < best.Adapter) {
+			best, least, found = n, rate, true
+		}
+	}
+	return best, found
+}
+
+func (e *Engine) wanted(n Name) bool {
+	return slices.ContainsFunc(e.queue, func(a *Ask) bool { return a.Name == n })
+}
+
+// Result tells how an order ended.
+type Result int
+
+// Results of an order.
+const (
+	Accepted Result = iota // it is being carried out
+	Holds                  // what was ordered holds already
+	Rejected               // it will not be carried out
+	Unclear                // it may or may not be carried out
+)
+
+// restLeast and restMost bound the rest after unclear orders: an engine that
+// crashed refuses connections at once.
+const (
+	restLeast = 5 * time.Millisecond
+	restMost  = 300 * time.Millisecond
+)
+
+// Ordered takes how an order ended, at now.
+func (e *Engine) Ordered(now time.Time, a Action, r Result) {
+	e.ordering = false
+	switch a := a.(type) {
+	case Load:
+		e.loaded(now, a.Name, r)
+	case Unload:
+		e.unloaded(now, a.Name, r)
+	}
+	// After an unclear order the next one is given at once: the engine rejects
+	// it if it has accepted the other, and the other if it accepts this one.
+	switch r {
+	case Accepted, Holds:
+		e.backoff, e.accepted = 0, now
+	case Rejected:
+		e.look, e.unsure = now.Add(e.config.Lag/2), true
+	case Unclear:
+		e.backoff = min(max(2*e.backoff, restLeast), restMost)
+		e.rest = now.Add(e.backoff)
+	}
+}
+
+func (e *Engine) loaded(now time.Time, n Name, r Result) {
+	if n.Adapter == "" {
+		e.look = now.Add(e.config.Lag)
+		if r == Accepted {
+			e.orders++
+			return
+		}
+		e.model = ""
+		return
+	}
+	held, ok := e.adapters[n]
+	if !ok {
+		return
+	}
+	if r == Holds {
+		held.ready = now
+		return
+	}
+	if r == Rejected || r == Unclear {
+		if held.old != nil {
+			uses := held.uses
+			*held = *held.old
+			held.uses = uses
+		} else {
+			delete(e.adapters, n)
+		}
+		return
+	}
+	if r == Accepted {
+		e.orders++
+	}
+	held.ready = now.Add(held.ready.Sub(held.began))
+}
+
+func (e *Engine) unloaded(now time.Time, n Name, r Result) {
+	if r == Unclear || r == Rejected {
+		if held, ok := e.adapters[n]; ok {
+			held.state = resident
+		}
+		return
+	}
+	e.orders++
+	if r == Accepted { // it waits for requests that this VM does not know of
+		e.look = now.Add(e.config.Lag)
+		return
+	}
+	delete(e.adapters, n)
+	if len(e.recent) >= e.config.Recent {
+		e.dropOldest()
+	}
+	e.recent[n] = now
+}
+
+func (e *Engine) dropOldest() {
+	var oldest Name
+	var at time.Time
+	for n, t := range e.recent {
+		if at.IsZero() || t.Before(at) {
+			oldest, at = n, t
+		}
+	}
+	delete(e.recent, oldest)
+}
+
+// Stop takes that the engine accepts no orders of this VM any more. Requests
+// for what it holds are still granted.
+func (e *Engine) Stop() { e.opens = e.opens.Add(forever) }
+
+// forever is longer than any process runs.
+const forever = 100 * 365 * 24 * time.Hour
