--- a/internal/edge/desk.go
+++ b/internal/edge/desk.go
@@ -79,12 +79,17 @@
 	known *holders
 	ask   relay.Ask
 	asked []string
+	left  bool // an engine left, or its holder changed, while the request waited for it
 }
 
 // Reserve implements relay.Desk.
 func (d *desk) Reserve(ctx context.Context, a relay.Ask) relay.Reservation {
 	r := &reservation{desk: d, known: d.holders.Load(), ask: a}
 	place, refused := r.place(ctx)
+	if place == nil && r.left && ctx.Err() == nil {
+		r.known = d.holders.Load()
+		place, refused = r.place(ctx)
+	}
 	return relay.Reservation{Place: place, Refused: refused, Asked: r.asked}
 }
 
@@ -122,8 +127,15 @@
 			best = u
 		}
 	}
-	if v := r.say(ctx, best, true, false); v != nil {
-		return v.place, v.refused
+	v := r.say(ctx, best, true, false)
+	switch {
+	case v == nil:
+		r.left = true
+	case v.place != nil:
+		return v.place, refused
+	default:
+		refused = v.refused
+		r.left = refused.Reason == engine.Closed
 	}
 	return nil, refused
 }
