--- /dev/null
+++ b/internal/edge/bench_test.go
@@ -0,0 +1,93 @@
+package edge
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/tanagerlb/tanagerlb/internal/relay"
+	"github.com/tanagerlb/tanagerlb/pkg/engine"
+	"github.com/tanagerlb/tanagerlb/pkg/fence"
+	"github.com/tanagerlb/tanagerlb/pkg/gossip"
+	"github.com/tanagerlb/tanagerlb/pkg/roster"
+	"github.com/tanagerlb/tanagerlb/pkg/route"
+)
+
+// sizes are VMs and engines, up to those of two years from now.
+var sizes = []struct{ vms, engines int }{{9, 12}, {89, 140}, {300, 1000}, {960, 3000}}
+
+// fleetOf returns the control state of a VM in a fleet at rest.
+func fleetOf(vms, engines int) *control {
+	self := gossip.VM{Name: "vm0", Boot: 1}
+	c := &control{
+		self: self, logger: zap.NewNop(), roster: roster.New(), fence: fence.New(), versions: map[engine.Name]engine.Version{},
+		held: map[string]*holder{}, gossip: gossip.New(gossip.Config{Share: 6, Pause: time.Hour, Patience: time.Hour}, self),
+		table: route.New(route.Config{Version: 1, Services: []route.Service{{Name: "s", Engine: &route.Engine{}}}}),
+	}
+	c.desk = newDesk(self, nil, nil, zap.NewNop())
+	for i := 1; i < vms; i++ {
+		c.gossip.Learn(start, gossip.News{VM: gossip.VM{Name: fmt.Sprintf("vm%d", i), Boot: 1}})
+	}
+	for i := range engines {
+		id := fmt.Sprintf("i-%06x", i)
+		c.roster.Apply(roster.Upstream{ID: id, Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:80")})
+		c.fence.Apply(start, int64(i+1), fence.Claim{Engine: id, VM: fmt.Sprintf("vm%d", 1+i%(vms-1)), Boot: 1})
+	}
+	for i := range 61_000 {
+		c.versions[engine.Name{Model: "m", Adapter: fmt.Sprintf("a%d", i)}] = engine.Version{Number: 2}
+	}
+	c.publish()
+	return c
+}
+
+func BenchmarkOrder(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("engines=%d", s.engines), func(b *testing.B) {
+			c := fleetOf(s.vms, s.engines)
+			c.publish()
+			v := c.view.Load()
+			for i := 0; b.Loop(); i++ {
+				c.desk.order(relay.Ask{Engines: v.Serving["s"], IDs: v.IDs["s"], Name: engine.Name{Model: "m", Adapter: fmt.Sprint(i % 61_000)}})
+			}
+		})
+	}
+}
+
+func BenchmarkSettle(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("vms=%d/engines=%d", s.vms, s.engines), func(b *testing.B) {
+			c := fleetOf(s.vms, s.engines)
+			for b.Loop() {
+				c.settle(start)
+			}
+		})
+	}
+}
+
+func BenchmarkClaim(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("vms=%d/engines=%d", s.vms, s.engines), func(b *testing.B) {
+			c := fleetOf(s.vms, s.engines)
+			for b.Loop() {
+				c.claim(b.Context(), start.Add(time.Hour)) // nothing is due
+			}
+		})
+	}
+}
+
+func BenchmarkProbe(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("vms=%d", s.vms), func(b *testing.B) {
+			c := fleetOf(s.vms, s.engines)
+			now := start
+			for b.Loop() {
+				now = now.Add(probePause)
+				c.gossip.Tick(now)
+				c.gossip.Share()
+			}
+		})
+	}
+}
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -118,6 +118,8 @@
 	fence     *fence.Table
 	gossip    *gossip.Table
 	versions  map[engine.Name]engine.Version
+	named     map[engine.Name]int64 // the versions, as they were published; never changed
+	renamed   bool                  // a version was named since
 	held      map[string]*holder
 	newest    map[platform.Topic]map[string]platform.Record // to be lent to peers
 	tail      int64                                         // offset at which the fleet topic ends; -1 before it was read
@@ -329,9 +331,11 @@
 		c.logger.Info("peer: "+n.Status.String(), zap.String("vm", n.VM.Name), zap.Int64("boot", n.VM.Boot))
 	}
 	c.gossip.Forget(now, buryTime)
+	if len(changed) > 0 || c.roster.Lapsing() {
+		c.settle(now)
+	}
 	if len(changed) > 0 || now.Sub(c.tried) >= claimPause {
 		c.tried = now
-		c.settle(now)
 		c.claim(ctx, now)
 	}
 }
--- a/internal/edge/desk.go
+++ b/internal/edge/desk.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -208,13 +209,9 @@
 // prefers the same ones, and a request without an adapter those that know the
 // beginning of its prompt.
 func (d *desk) order(a relay.Ask) []roster.Upstream {
-	byID := make(map[string]roster.Upstream, len(a.Engines))
-	ids := make([]string, 0, len(a.Engines))
-	for _, u := range a.Engines {
-		if !a.Avoid[u.ID] {
-			byID[u.ID] = u
-			ids = append(ids, u.ID)
-		}
+	ids := a.IDs
+	if len(a.Avoid) > 0 {
+		ids = slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return a.Avoid[id] })
 	}
 	key := a.Name.Model + "/" + a.Name.Adapter
 	if a.Name.Adapter == "" && len(a.Parts) > 1 {
@@ -225,7 +222,10 @@
 	d.divide(top[:min(spread, len(top))])
 	var order []roster.Upstream
 	for _, id := range top[:min(choices, len(top))] {
-		order = append(order, byID[id])
+		i, ok := slices.BinarySearchFunc(a.Engines, id, func(u roster.Upstream, id string) int { return strings.Compare(u.ID, id) })
+		if ok {
+			order = append(order, a.Engines[i])
+		}
 	}
 	return order
 }
--- a/internal/edge/publish.go
+++ b/internal/edge/publish.go
@@ -30,11 +30,22 @@
 }
 
 func (c *control) publish() {
-	c.view.Store(&relay.View{Table: c.table, Serving: c.roster.Serving()})
-	known := &holders{vms: map[string]gossip.VM{}, versions: make(map[engine.Name]int64, len(c.versions))}
-	for n, version := range c.versions {
-		known.versions[n] = version.Number
+	view := &relay.View{Table: c.table, Serving: c.roster.Serving(), IDs: map[string][]string{}}
+	for service, list := range view.Serving {
+		ids := make([]string, len(list))
+		for i, u := range list {
+			ids[i] = u.ID
+		}
+		view.IDs[service] = ids
+	}
+	c.view.Store(view)
+	if len(c.named) != len(c.versions) || c.renamed {
+		c.named, c.renamed = make(map[engine.Name]int64, len(c.versions)), false
+		for n, version := range c.versions {
+			c.named[n] = version.Number
+		}
 	}
+	known := &holders{vms: map[string]gossip.VM{}, versions: c.named}
 	live := map[string]gossip.VM{c.self.Name: c.self}
 	d := &directory{self: c.self, ready: c.table != nil && !c.leaving}
 	if d.ready {
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -91,7 +91,7 @@
 			return
 		}
 		version := engine.Version{Number: change.Version, Named: named}
-		c.versions[n] = version
+		c.versions[n], c.renamed = version, true
 		c.logger.Info("config: adapter version", zap.String("adapter", n.Model+"/"+n.Adapter), zap.Int64("version", change.Version))
 		for _, h := range c.held {
 			h.engine.Newest(n, version)
--- a/internal/relay/desk.go
+++ b/internal/relay/desk.go
@@ -12,8 +12,9 @@
 // Ask describes a request that needs a place at an engine.
 type Ask struct {
 	Service   string
-	Engines   []roster.Upstream
-	Avoid     map[string]bool // engines that failed the request
+	Engines   []roster.Upstream // in the order of their ids
+	IDs       []string          // of the engines
+	Avoid     map[string]bool   // engines that failed the request
 	Name      engine.Name
 	Parts     []call.Part
 	Prompt    int // tokens
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -28,8 +28,9 @@
 
 // View is what the traffic knows of the system.
 type View struct {
-	Table   *route.Table // nil before the first configuration
-	Serving map[string][]roster.Upstream
+	Table   *route.Table                 // nil before the first configuration
+	Serving map[string][]roster.Upstream // by service, in the order of their ids
+	IDs     map[string][]string          // of the same
 }
 
 // Config sets up a Handler.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -5,6 +5,8 @@
 
 import (
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -110,6 +112,16 @@
 	return true
 }
 
+// Lapsing tells whether an upstream whose entry is missing still counts as alive.
+func (t *Table) Lapsing() bool {
+	for _, b := range t.beliefs {
+		if !b.lapsed.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // Forget drops the upstreams that count as gone at now and returns their ids.
 func (t *Table) Forget(now time.Time) []string {
 	var ids []string
@@ -140,7 +152,8 @@
 	return ids
 }
 
-// Serving returns the upstreams that take new requests, by service.
+// Serving returns the upstreams that take new requests, by service, in the order
+// of their ids.
 func (t *Table) Serving() map[string][]Upstream {
 	serving := map[string][]Upstream{}
 	for _, b := range t.beliefs {
@@ -148,5 +161,8 @@
 			serving[b.Service] = append(serving[b.Service], b.Upstream)
 		}
 	}
+	for _, list := range serving {
+		slices.SortFunc(list, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
+	}
 	return serving
 }
