--- a/internal/edge/bench_test.go
+++ b/internal/edge/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -29,7 +30,7 @@
 	}
 	c.desk = newDesk(self, nil, nil, zap.NewNop())
 	for i := 1; i < vms; i++ {
-		c.gossip.Learn(start, gossip.News{VM: gossip.VM{Name: fmt.Sprintf("vm%d", i), Boot: 1}})
+		c.gossip.Learn(start, gossip.News{VM: gossip.VM{Name: fmt.Sprintf("vm%d", i), Boot: 1}, Status: gossip.Alive})
 	}
 	for i := range engines {
 		id := fmt.Sprintf("i-%06x", i)
@@ -50,7 +51,7 @@
 			c.publish()
 			v := c.view.Load()
 			for i := 0; b.Loop(); i++ {
-				c.desk.order(relay.Ask{Engines: v.Serving["s"], IDs: v.IDs["s"], Name: engine.Name{Model: "m", Adapter: fmt.Sprint(i % 61_000)}})
+				c.desk.order(relay.Ask{Engines: v.Serving["s"], IDs: v.IDs["s"], Name: engine.Name{Model: "m", Adapter: strconv.Itoa(i % 61_000)}})
 			}
 		})
 	}
--- a/internal/edge/claims.go
+++ b/internal/edge/claims.go
@@ -20,7 +20,7 @@
 	live := []fence.VM{{Name: c.self.Name, Boot: c.self.Boot}}
 	before := 0 // VMs before this one in the order of names
 	for _, n := range c.gossip.Known() {
-		if n.Status == gossip.Alive {
+		if n.Status <= gossip.Alive { // a listed one counts until probes find it dead
 			live = append(live, fence.VM{Name: n.VM.Name, Boot: n.VM.Boot})
 			if n.VM.Name < c.self.Name {
 				before++
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -345,7 +345,7 @@
 	c.leaving = true
 	c.gossip.Leave()
 	for _, n := range c.gossip.Known() {
-		if n.Status <= gossip.Leaving {
+		if n.Status.Lives() {
 			c.wire.send(n.VM.Peer, packet{Probe: &probe{From: c.gossip.Self()}})
 		}
 	}
--- a/internal/edge/loans.go
+++ b/internal/edge/loans.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/tanagerlb/tanagerlb/pkg/gossip"
 	"github.com/tanagerlb/tanagerlb/platform"
 )
 
@@ -20,7 +19,7 @@
 func (c *control) lend(from, next int64, changed []platform.Record) {
 	names, peers := []string{c.self.Name}, map[string]netip.AddrPort{}
 	for _, n := range c.gossip.Known() {
-		if n.Status <= gossip.Leaving {
+		if n.Status.Lives() {
 			names = append(names, n.VM.Name)
 			peers[n.VM.Name] = n.VM.Peer
 		}
--- a/internal/edge/publish.go
+++ b/internal/edge/publish.go
@@ -52,7 +52,7 @@
 		d.vms = append(d.vms, c.self)
 	}
 	for _, n := range c.gossip.Known() {
-		if n.Status <= gossip.Leaving {
+		if n.Status <= gossip.Leaving { // a listed one may hold engines too
 			live[n.VM.Name] = n.VM
 		}
 		if n.Status == gossip.Alive {
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -24,17 +24,21 @@
 
 // Statuses, from the best to the worst.
 const (
-	Alive   Status = iota
-	Leaving        // takes no new callers, still answers
-	Suspect        // does not answer; dead unless it objects
+	Listed Status = iota // named by a list that may be old; nobody has heard it
+	Alive
+	Leaving // takes no new callers, still answers
+	Suspect // does not answer; dead unless it objects
 	Dead
 )
 
 // String returns the status's name in logs.
 func (s Status) String() string {
-	return [...]string{"alive", "leaving", "suspect", "dead"}[s]
+	return [...]string{"listed", "alive", "leaving", "suspect", "dead"}[s]
 }
 
+// Lives tells whether a VM was heard lately.
+func (s Status) Lives() bool { return s == Alive || s == Leaving }
+
 // News is a belief about a VM that is passed on.
 type News struct {
 	VM     VM
@@ -75,7 +79,7 @@
 
 // New returns a table with only the VM itself.
 func New(c Config, self VM) *Table {
-	return &Table{config: c, self: News{VM: self}, members: map[string]*member{}}
+	return &Table{config: c, self: News{VM: self, Status: Alive}, members: map[string]*member{}}
 }
 
 // Self returns what this VM says of itself.
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -86,7 +86,7 @@
 		t.Run(strconv.Itoa(size), func(t *testing.T) {
 			is := is.New(t)
 			f := newFleet(size)
-			f.run(2 * time.Second)
+			f.run(time.Duration(size+20) * tick) // a round of probes
 			f.cut[vm(0).Name] = true
 			f.run(5 * time.Second)
 			is.Equal(f.count(vm(0).Name, gossip.Dead), size-1)
@@ -113,11 +113,11 @@
 func TestRestartedVMIsAliveAtOnce(t *testing.T) {
 	is := is.New(t)
 	table := gossip.New(config(), vm(0))
-	table.Heard(start, gossip.News{VM: vm(1)})
+	table.Heard(start, gossip.News{VM: vm(1), Status: gossip.Alive})
 	is.True(table.Learn(start, gossip.News{VM: vm(1), Status: gossip.Dead}))
 	again := vm(1)
 	again.Boot = 2
-	is.True(table.Heard(start.Add(time.Second), gossip.News{VM: again}))
+	is.True(table.Heard(start.Add(time.Second), gossip.News{VM: again, Status: gossip.Alive}))
 	is.True(!table.Learn(start, gossip.News{VM: vm(1), Status: gossip.Dead, Beat: 9})) // of the run before
 	is.Equal(table.Known()[0].Status, gossip.Alive)
 }
@@ -125,7 +125,7 @@
 func TestVMThatStoodStillSuspectsNobody(t *testing.T) {
 	is := is.New(t)
 	table := gossip.New(config(), vm(0))
-	table.Heard(start, gossip.News{VM: vm(1)})
+	table.Heard(start, gossip.News{VM: vm(1), Status: gossip.Alive})
 	table.Tick(start)
 	now := start
 	for range 5 {
@@ -142,3 +142,25 @@
 	is.Equal(table.Self().Beat, uint32(4))
 	is.Equal(table.Self().Status, gossip.Alive)
 }
+
+// A list may name VMs that went long ago; they were named to callers until a
+// probe found them dead.
+func TestListedVMDoesNotLiveUntilItIsHeard(t *testing.T) {
+	is := is.New(t)
+	table := gossip.New(config(), vm(0))
+	status := func() gossip.Status { return table.Known()[0].Status }
+	is.True(table.Learn(start, gossip.News{VM: vm(1)}))
+	is.True(!status().Lives())
+	is.True(table.Learn(start, gossip.News{VM: vm(1), Status: gossip.Alive})) // another VM has heard it
+	is.True(status().Lives())
+	is.True(!table.Learn(start, gossip.News{VM: vm(1)})) // the list is read again
+	is.True(status().Lives())
+
+	table = gossip.New(config(), vm(0))
+	table.Learn(start, gossip.News{VM: vm(1)})
+	for now := start; now.Before(start.Add(5 * time.Second)); now = now.Add(tick) {
+		table.Tick(now)
+		is.True(!status().Lives())
+	}
+	is.Equal(status(), gossip.Dead)
+}
