fix(edge): look at waiting work also while events come

Cause: each event put the next look at the engines off by 10 ms; at more than a hundred events a second the looks came only in gaps.

--- a/internal/edge/claims.go
+++ b/internal/edge/claims.go
@@ -28,7 +28,7 @@
 		}
 	}
 	switch {
-	case now.Sub(c.started) < settleTime+time.Duration(before)*spread:
+	case now.Sub(c.started) < settleTime+min(time.Duration(before)*spread, spreadMost):
 		c.reclaim(ctx)
 		return
 	case len(live) > 1:
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -76,8 +76,10 @@
 	busyPause = 10 * time.Millisecond
 	// settleTime is how long a VM listens before it claims engines.
 	settleTime = 1200 * time.Millisecond
-	// spread separates the first claims of VMs that start together.
-	spread = 80 * time.Millisecond
+	// spread separates the first claims of VMs that start together, up to
+	// spreadMost.
+	spread     = 80 * time.Millisecond
+	spreadMost = 3 * time.Second
 	// claimPause is the time between two looks for engines to claim.
 	claimPause = 250 * time.Millisecond
 	// claimSpread divides the next attempts of VMs whose claims conflicted.
@@ -151,7 +153,8 @@
 	c.started, c.alone = time.Now(), time.Now()
 	probes := time.NewTicker(probePause)
 	defer probes.Stop()
-	wake := time.NewTimer(probePause)
+	fast := true // engines are looked at often
+	wake := time.NewTicker(busyPause)
 	defer wake.Stop()
 	for {
 		select {
@@ -163,15 +166,11 @@
 			c.tick(ctx, time.Now())
 		case <-wake.C:
 			c.advance(ctx, time.Now())
-			pause := probePause
-			if c.busy() {
-				pause = busyPause
-			}
-			wake.Reset(pause)
-			continue
 		}
-		if c.busy() {
-			wake.Reset(busyPause)
+		// Events must not put the next look at the engines off.
+		if busy := c.busy(); busy != fast {
+			fast = busy
+			wake.Reset(map[bool]time.Duration{true: busyPause, false: probePause}[busy])
 		}
 	}
 }
