--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -116,7 +116,6 @@
 	if change == roster.Same || change == roster.Outdated {
 		return false
 	}
-
 	c.logger.Info("upstream: "+change.String(), zap.String("upstream", u.ID), zap.String("service", u.Service),
 		zap.Stringer("address", u.Address), zap.Int64("offset", r.Offset), zap.Int64("born", u.Born))
 	if change == roster.Reborn {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -52,8 +52,7 @@
 		x.tracker.End(time.Now(), u.ID, r.outcome, time.Since(sent))
 		x.mu.Unlock()
 		if x.gone() {
-			x.log("left", r.reason, 0)
-			panic(http.ErrAbortHandler)
+			x.leave(r.reason)
 		}
 		tried[u.ID] = true
 		x.ran = x.ran || !r.notRun
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -212,6 +212,12 @@
 // gone tells whether the caller left.
 func (x *exchange) gone() bool { return x.r.Context().Err() != nil }
 
+// leave ends a request whose caller left.
+func (x *exchange) leave(reason string) {
+	x.log("left", reason, 0)
+	panic(http.ErrAbortHandler)
+}
+
 // late tells whether the time of the request is over.
 func (x *exchange) late() bool { return x.ctx.Err() != nil }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -37,8 +37,7 @@
 			if place != nil {
 				place.End(engine.Done)
 			}
-			x.log("left", "caller left", 0)
-			panic(http.ErrAbortHandler)
+			x.leave("caller left")
 		}
 		if place == nil {
 			x.refuse(string(reservation.Refused.Reason), reservation.Refused.Wait)
@@ -137,8 +136,7 @@
 		zap.String("upstream", place.Upstream.ID), zap.Error(err))
 	if x.gone() {
 		place.End(engine.Done)
-		x.log("left", "caller left", 0)
-		panic(http.ErrAbortHandler)
+		x.leave("caller left")
 	}
 	place.End(engine.Failed)
 	if errors.Is(err, link.ErrUnsent) {
@@ -179,8 +177,7 @@
 		zap.String("upstream", place.Upstream.ID), zap.String("reason", reason), zap.String("event", x.lastID))
 	if x.gone() {
 		place.End(engine.Done)
-		x.log("left", "caller left", 0)
-		panic(http.ErrAbortHandler)
+		x.leave("caller left")
 	}
 	if x.late() {
 		place.End(engine.Done)
@@ -239,8 +236,7 @@
 	e.Close(time.Now(), !left)
 	place.End(engine.Done)
 	if left {
-		x.log("left", "caller left", 0)
-		panic(http.ErrAbortHandler)
+		x.leave("caller left")
 	}
 	x.done(place.Upstream.ID, response.StatusCode)
 	return false
