feat(edge,ctrl): log what is held against a request that may crash upstreams

Lines with prefix crash: carry the request's fingerprint, the upstream, how the crash was learned and after what time, the count and its limit; the end of a request that was sent carries its fingerprint. Two counters. The control loop of serve logs each crash with the requests under it. No decision changed.

--- a/internal/ctrl/execute.go
+++ b/internal/ctrl/execute.go
@@ -13,6 +13,7 @@
 	"github.com/tanagerlb/tanagerlb/internal/delay"
 	"github.com/tanagerlb/tanagerlb/internal/infer"
 	"github.com/tanagerlb/tanagerlb/internal/logs"
+	"github.com/tanagerlb/tanagerlb/pkg/crash"
 	"github.com/tanagerlb/tanagerlb/pkg/node"
 	"github.com/tanagerlb/tanagerlb/pkg/permit"
 	"github.com/tanagerlb/tanagerlb/pkg/place"
@@ -61,6 +62,8 @@
 	case node.RecordIgnored:
 		l.config.Metrics.RecordIgnored(a.Stream)
 		l.config.Logger.Warn("log: skipped an unusable record", zap.String("stream", a.Stream), zap.Error(a.Err))
+	case node.CrashDetected:
+		l.logCrash(a)
 	case node.ShutdownComplete:
 		l.config.OnShutdownComplete()
 	default:
@@ -68,6 +71,20 @@
 	}
 }
 
+// logCrash logs the crash of an engine with the requests that may have been the
+// cause.
+func (l *Loop) logCrash(a node.CrashDetected) {
+	suspects := 0
+	for _, r := range a.Running {
+		if r.Suspect {
+			suspects++
+		}
+	}
+	l.config.Metrics.CrashLearned("owner")
+	l.config.Logger.Warn("engine: crashed", zap.String("engine", a.Engine), zap.Int("running", len(a.Running)),
+		zap.Int("suspects", suspects), zap.Strings("blocked", crash.Texts(a.Blocked)))
+}
+
 // deliver sends an action to the call that waits for it. If no call waits, the
 // action is counted as dropped.
 func (l *Loop) deliver(a node.Action) {
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -237,7 +237,7 @@
 		c.noteBroken(now, e)
 		return
 	case unreachable:
-		c.noteCrash(now, e.upstream)
+		c.noteCrash(now, e.upstream, learnedByDial)
 		return
 	case claimDone:
 		c.claiming = false
@@ -279,7 +279,7 @@
 func (c *control) reconcile(now time.Time) {
 	for _, id := range c.roster.Expire(now) {
 		c.logger.Info("upstream: gone", zap.String("upstream", id))
-		c.noteCrash(now, id)
+		c.noteCrash(now, id, learnedFromMissingEntry)
 	}
 	for id, h := range c.held {
 		claim, ok := c.fence.Get(id)
--- a/internal/edge/control_test.go
+++ b/internal/edge/control_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/tanagerlb/tanagerlb/internal/metric"
 	"github.com/tanagerlb/tanagerlb/pkg/gossip"
 	"github.com/tanagerlb/tanagerlb/platform"
 )
@@ -91,14 +92,14 @@
 func TestRequestIsBlockedAfterCrashes(t *testing.T) {
 	is := is.New(t)
 	self := gossip.VM{Name: "a"}
-	c := &control{logger: zap.NewNop(), self: self, poison: newPoison(), gossip: gossip.New(gossip.Config{}, self)}
+	c := &control{logger: zap.NewNop(), metrics: metric.New(), self: self, poison: newPoison(), gossip: gossip.New(gossip.Config{}, self)}
 	for i, id := range []string{"e1", "e2", "e3"} {
 		at := start.Add(time.Duration(i) * time.Second)
 		is.Equal(c.poison.blocked.remaining(at, 7), time.Duration(0))
 		c.noteBroken(at, requestBroken{fingerprint: 7, upstream: id})
 		c.noteBroken(at, requestBroken{fingerprint: 8, upstream: "works"}) // its connections break, but it does not crash
-		c.noteCrash(at.Add(100*time.Millisecond), id)
-		c.noteCrash(at.Add(200*time.Millisecond), id) // the same crash, detected a second time
+		c.noteCrash(at.Add(100*time.Millisecond), id, learnedByDial)
+		c.noteCrash(at.Add(200*time.Millisecond), id, learnedByDial) // the same crash, detected a second time
 	}
 	at := start.Add(3 * time.Second)
 	is.True(c.poison.blocked.remaining(at, 7) > 0)
@@ -109,10 +110,10 @@
 func TestCrashLongAfterBrokenRequestIsIgnored(t *testing.T) {
 	is := is.New(t)
 	self := gossip.VM{Name: "a"}
-	c := &control{logger: zap.NewNop(), self: self, poison: newPoison(), gossip: gossip.New(gossip.Config{}, self)}
+	c := &control{logger: zap.NewNop(), metrics: metric.New(), self: self, poison: newPoison(), gossip: gossip.New(gossip.Config{}, self)}
 	for _, id := range []string{"e1", "e2", "e3"} {
 		c.noteBroken(start, requestBroken{fingerprint: 7, upstream: id})
-		c.noteCrash(start.Add(2*detectionTime), id)
+		c.noteCrash(start.Add(2*detectionTime), id, learnedByDial)
 	}
 	is.Equal(c.poison.blocked.remaining(start.Add(2*detectionTime), 7), time.Duration(0))
 }
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"strconv"
 	"sync"
 	"time"
 
@@ -41,6 +40,7 @@
 
 // requestBroken is a request whose connection to the upstream broke while it ran.
 type requestBroken struct {
+	id          string
 	fingerprint crash.Fingerprint
 	upstream    string
 }
@@ -48,6 +48,13 @@
 // unreachable reports that an upstream accepts no connections.
 type unreachable struct{ upstream string }
 
+// How a VM learns of a crash, in logs and metrics.
+const (
+	learnedByDial           = "dial failed"
+	learnedFromRestart      = "entry shows a restart"
+	learnedFromMissingEntry = "entry is gone"
+)
+
 func (requestBroken) event() {}
 func (unreachable) event()   {}
 
@@ -125,24 +132,31 @@
 		list = append(list, suspect{fingerprint: e.fingerprint, at: now})
 	}
 	c.poison.pending[e.upstream] = list
+	c.metrics.Suspected("broke off")
+	c.logger.Info("crash: request broke off", zap.String("request", e.id), zap.String("upstream", e.upstream), zap.Stringer("print", e.fingerprint))
 }
 
 // noteCrash handles the crash of an upstream. Each request whose connection to the
 // upstream broke shortly before may be the cause, and is reported to the VMs that
-// count its crashes.
-func (c *control) noteCrash(now time.Time, upstream string) {
+// count its crashes. learned tells how this VM learned of the crash.
+func (c *control) noteCrash(now time.Time, upstream, learned string) {
 	list, ok := c.poison.pending[upstream]
 	if !ok {
 		return
 	}
 	delete(c.poison.pending, upstream)
+	c.metrics.CrashLearned(learned)
+	c.logger.Info("crash: upstream crashed", zap.String("upstream", upstream), zap.String("learned", learned),
+		zap.Int("suspects", len(list)), zap.Duration("after", now.Sub(list[0].at)))
 	names, live := c.liveVMs()
 	fingerprints := map[string][]crash.Fingerprint{}
 	for _, s := range list {
 		if now.Sub(s.at) > detectionTime {
+			c.metrics.Suspected("forgotten")
+			c.logger.Info("crash: suspect is forgotten", zap.String("upstream", upstream), zap.Stringer("print", s.fingerprint), zap.Duration("after", now.Sub(s.at)))
 			continue
 		}
-		for _, name := range rank.Top(strconv.FormatUint(uint64(s.fingerprint), 16), names, tallyVMs) {
+		for _, name := range rank.Top(s.fingerprint.String(), names, tallyVMs) {
 			fingerprints[name] = append(fingerprints[name], s.fingerprint)
 		}
 	}
@@ -164,7 +178,11 @@
 // block the requests that reach blockThreshold.
 func (c *control) countCrashes(now time.Time, e *crashReport) {
 	for _, f := range e.Fingerprints {
-		if !c.poison.tally.RecordCrash(now, f, e.Upstream) {
+		blocked := c.poison.tally.RecordCrash(now, f, e.Upstream)
+		c.metrics.Suspected("counted")
+		c.logger.Info("crash: counted", zap.String("upstream", e.Upstream), zap.Stringer("print", f),
+			zap.Int("crashes", c.poison.tally.Count(f)), zap.Int("limit", blockThreshold))
+		if !blocked {
 			continue
 		}
 		c.block(now, &blockNotice{Fingerprint: f})
@@ -176,7 +194,7 @@
 }
 
 func (c *control) block(now time.Time, e *blockNotice) {
-	c.logger.Warn("relay: blocking a request that crashes upstreams", zap.Uint64("print", uint64(e.Fingerprint)), zap.Duration("for", blockTime))
+	c.logger.Warn("relay: blocking a request that crashes upstreams", zap.Stringer("print", e.Fingerprint), zap.Duration("for", blockTime))
 	c.poison.blocked.add(now, e.Fingerprint)
 }
 
@@ -190,8 +208,8 @@
 }
 
 // ReportBroken implements relay.CrashTracker.
-func (t crashTracker) ReportBroken(f crash.Fingerprint, upstream string) {
-	t.control.post(requestBroken{fingerprint: f, upstream: upstream})
+func (t crashTracker) ReportBroken(id string, f crash.Fingerprint, upstream string) {
+	t.control.post(requestBroken{id: id, fingerprint: f, upstream: upstream})
 }
 
 // ReportUnreachable implements relay.CrashTracker.
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -32,6 +32,14 @@
 // Answered counts a request that was answered completely, by its kind.
 func (s *Set) Answered(kind string) { s.count("done", "kind", kind) }
 
+// Suspected counts a request that may have crashed an upstream, by what became of
+// the suspicion.
+func (s *Set) Suspected(state string) { s.count("crash_suspects", "state", state) }
+
+// CrashLearned counts an upstream crash under which requests broke off, by how the
+// VM learned of it.
+func (s *Set) CrashLearned(source string) { s.count("crashes", "learned", source) }
+
 // RecordIgnored counts an invalid record that was read from a stream of the log.
 func (s *Set) RecordIgnored(stream string) { s.count("ignored_records", "stream", stream) }
 
--- a/internal/relay/crash_tracker.go
+++ b/internal/relay/crash_tracker.go
@@ -18,12 +18,15 @@
 	// blocked, or 0 if the request may run.
 	BlockedFor(now time.Time, f crash.Fingerprint) time.Duration
 	// ReportBroken reports that an upstream ended a request without a complete
-	// answer; the upstream may have crashed.
-	ReportBroken(f crash.Fingerprint, upstream string)
+	// answer; the upstream may have crashed. id is the id of the request.
+	ReportBroken(id string, f crash.Fingerprint, upstream string)
 	// ReportUnreachable reports that no connection to an upstream could be opened.
 	ReportUnreachable(upstream string)
 }
 
+// reasonPoison is the reason with which a blocked request is refused.
+const reasonPoison = "request crashes upstreams"
+
 // fingerprint returns a hash of the caller's IP address and the request's method,
 // host, path with query, and body. A request that the same caller sends again has
 // the same fingerprint.
@@ -45,7 +48,7 @@
 func (x *exchange) refuseBlocked() bool {
 	remaining := x.config.CrashTracker.BlockedFor(time.Now(), x.fingerprint())
 	if remaining > 0 {
-		x.refuse("request crashes upstreams", remaining)
+		x.refuse(reasonPoison, remaining)
 	}
 	return remaining > 0
 }
@@ -54,7 +57,7 @@
 // complete answer, unless the deadline passed or the caller disconnected.
 func (x *exchange) reportBroken(upstream string) {
 	if !x.ctxDone() && !x.callerGone() {
-		x.config.CrashTracker.ReportBroken(x.fingerprint(), upstream)
+		x.config.CrashTracker.ReportBroken(x.call.ID, x.fingerprint(), upstream)
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -344,6 +344,9 @@
 		zap.String("request", x.call.ID), zap.String("reason", reason), zap.Int("status", status),
 		zap.Duration("after", time.Since(x.started)), zap.Int("sends", x.sends),
 	}
+	if x.sends > 0 || reason == reasonPoison {
+		fields = append(fields, zap.Stringer("print", x.fingerprint()))
+	}
 	if x.route != nil {
 		fields = append(fields, zap.String("route", x.route.Name), zap.Int64("version", x.view.Table.Version))
 	}
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -9,6 +9,7 @@
 package crash
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/tanagerlb/tanagerlb/pkg/record"
@@ -24,6 +25,18 @@
 // Fingerprint is a hash of a request's content.
 type Fingerprint uint64
 
+// String returns the fingerprint in hexadecimal, as it stands in logs.
+func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
+
+// Texts returns the fingerprints as they stand in logs.
+func Texts(list []Fingerprint) []string {
+	texts := make([]string, len(list))
+	for i, f := range list {
+		texts[i] = f.String()
+	}
+	return texts
+}
+
 // BlockRecord is the body of the record that blocks a request.
 type BlockRecord struct {
 	Fingerprint Fingerprint `json:"print"`
--- a/pkg/crash/tally.go
+++ b/pkg/crash/tally.go
@@ -46,6 +46,15 @@
 	return len(c.upstreams) >= t.config.Upstreams
 }
 
+// Count returns the number of different upstreams that crashed while they ran a
+// request, as far as they are remembered.
+func (t *Tally) Count(f Fingerprint) int {
+	if c, ok := t.crashes[f]; ok {
+		return len(c.upstreams)
+	}
+	return 0
+}
+
 // evict makes room for one more request. It removes the requests whose last crash
 // is older than the TTL or, if that frees no room, the request with the oldest last
 // crash.
--- a/pkg/node/action.go
+++ b/pkg/node/action.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/tanagerlb/tanagerlb/pkg/crash"
 	"github.com/tanagerlb/tanagerlb/pkg/docs"
 	"github.com/tanagerlb/tanagerlb/pkg/keys"
 	"github.com/tanagerlb/tanagerlb/pkg/member"
@@ -113,6 +114,14 @@
 	Err    error
 }
 
+// CrashDetected reports that an engine crashed, and which requests may have been the
+// cause.
+type CrashDetected struct {
+	Engine  string
+	Running []crash.Running     // requests that were running on the engine
+	Blocked []crash.Fingerprint // those that are blocked from now on
+}
+
 // ShutdownComplete reports that the graceful shutdown is complete.
 type ShutdownComplete struct{}
 
@@ -133,6 +142,7 @@
 func (Answer) action()           {}
 func (ProposalDecided) action()  {}
 func (RecordIgnored) action()    {}
+func (CrashDetected) action()    {}
 func (ShutdownComplete) action() {}
 
 // Reason tells why a model call was refused or failed. The reasons of an engine's
--- a/pkg/node/engine.go
+++ b/pkg/node/engine.go
@@ -218,8 +218,9 @@
 			running = append(running, crash.Running{Fingerprint: c.fingerprint, Suspect: c.suspect})
 		}
 	}
-	var actions []Action
-	for _, fingerprint := range n.suspects.RecordCrash(now, running) {
+	blocked := n.suspects.RecordCrash(now, running)
+	actions := []Action{CrashDetected{Engine: o.name, Running: running, Blocked: blocked}}
+	for _, fingerprint := range blocked {
 		if data, err := record.Encode(crash.Kind, crash.BlockRecord{Fingerprint: fingerprint}); err == nil {
 			actions = append(actions, Append{Stream: crash.Stream, Data: data})
 		}
