--- a/internal/testlib/proxy.go
+++ b/internal/testlib/proxy.go
@@ -24,12 +24,15 @@
 	Refuse                // close all open connections, and new ones at once
 	Blackhole             // keep open and new connections open, but forward nothing
 	StallOpen             // forward nothing on the connections open now, but everything on later ones
+	Down                  // close all connections and the port, so that new connections are refused
 )
 
 // Proxy forwards TCP connections to a target and injects faults into them.
 type Proxy struct {
-	listener net.Listener
+	t        testing.TB
+	address  netip.AddrPort
 	mu       sync.Mutex
+	listener net.Listener // nil in mode Down
 	target   netip.AddrPort
 	mode     Mode
 	delay    time.Duration
@@ -44,25 +47,33 @@
 	if err != nil {
 		t.Fatalf("listen for proxy: %v", err)
 	}
-	p := &Proxy{listener: listener, target: target, links: map[*link]bool{}}
+	p := &Proxy{
+		t: t, address: netip.MustParseAddrPort(listener.Addr().String()),
+		listener: listener, target: target, links: map[*link]bool{},
+	}
 	t.Cleanup(p.close)
-	go p.acceptLoop()
+	go p.acceptLoop(listener)
 	return p
 }
 
 // Address returns the address that the proxy listens on.
-func (p *Proxy) Address() netip.AddrPort {
-	return netip.MustParseAddrPort(p.listener.Addr().String())
-}
+func (p *Proxy) Address() netip.AddrPort { return p.address }
 
 // SetMode changes the mode. The new mode applies to open connections too.
 func (p *Proxy) SetMode(mode Mode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = mode
+	switch {
+	case mode == Down && p.listener != nil:
+		_ = p.listener.Close()
+		p.listener = nil
+	case mode != Down && p.listener == nil:
+		p.listen()
+	}
 	for l := range p.links {
 		switch mode {
-		case Refuse:
+		case Refuse, Down:
 			l.close()
 		case Blackhole, StallOpen:
 			l.pause()
@@ -83,14 +94,22 @@
 	p.delay = d
 }
 
-func (p *Proxy) close() {
-	_ = p.listener.Close()
-	p.SetMode(Refuse)
+// listen opens the port again that mode Down closed.
+func (p *Proxy) listen() {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", p.address.String())
+	if err != nil {
+		p.t.Errorf("listen again for proxy: %v", err)
+		return
+	}
+	p.listener = listener
+	go p.acceptLoop(listener)
 }
 
-func (p *Proxy) acceptLoop() {
+func (p *Proxy) close() { p.SetMode(Down) }
+
+func (p *Proxy) acceptLoop(listener net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -101,7 +120,7 @@
 func (p *Proxy) accept(c net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.mode == Refuse {
+	if p.mode == Refuse || p.mode == Down {
 		_ = c.Close()
 		return
 	}
