fix(edge): count crashes of upstreams, not their ids

Seen by callers and operators: a request that crashes each upstream that runs it was sent on for as long as it came back, where fewer than three upstreams took it by turns: 15 to 17 crashes in 14 s.

Cause: an upstream may restart under the id that it had, and the count was of different ids. A service with two upstreams never reached three.

Fix: what is counted is a run, from its send to its end. Two runs at one upstream saw the same crash only if they overlap. A block lasts a minute and twice as long after each further crash, in place of 30 s after each. A request with several crashes is no longer evicted for many with one. A tracker has no state but the runs, so VMs with the same runs decide the same.

TestRequestIsBlockedAfterCrashes has the cases of one and two upstreams.

--- a/internal/edge/packet.go
+++ b/internal/edge/packet.go
@@ -23,8 +23,8 @@
 	FirstToken  *firstToken       `msgpack:"b,omitempty"`
 	SlotRelease *slotRelease      `msgpack:"e,omitempty"`
 	Records     *forwardedRecords `msgpack:"l,omitempty"`
-	CrashReport *crashReport      `msgpack:"c,omitempty"`
-	BlockNotice *blockNotice      `msgpack:"d,omitempty"`
+	CrashReport *crashReport      `msgpack:"x,omitempty"`
+	BlockNotice *blockNotice      `msgpack:"y,omitempty"`
 }
 
 // probe is a failure detector probe, or the reply to one. It carries membership
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -1,11 +1,13 @@
 package edge
 
 import (
-	"sync"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/tanagerlb/tanagerlb/internal/relay"
 	"github.com/tanagerlb/tanagerlb/pkg/crash"
 	"github.com/tanagerlb/tanagerlb/pkg/rank"
 )
@@ -13,41 +15,30 @@
 // Parameters of the detection of poison requests, which crash the upstreams that
 // run them.
 const (
-	// blockThreshold is the number of different upstreams that must have crashed
-	// while they ran a request for the request to be blocked.
+	// blockThreshold is the number of crashes of upstreams under a request at which
+	// the request is blocked.
 	blockThreshold = 3
-	// crashWindow is how long the upstream crashes counted for a request are kept
-	// after the latest of them; then all are forgotten together. It is long enough
-	// for several restarts of an upstream.
-	crashWindow = time.Minute
-	// blockTime is how long a poison request is blocked. It is short because the
-	// decision may be wrong: another request may have crashed the upstreams.
-	blockTime = 30 * time.Second
+	// blockTime is how long a request is blocked at first. The time is doubled for
+	// each further crash, up to maxBlockTime: the decision may be wrong, and only a
+	// run that ends well can show it.
+	blockTime    = time.Minute
+	maxBlockTime = 15 * time.Minute
+	// crashTTL is how long the crashes of a request are remembered after the last one.
+	crashTTL = 2 * maxBlockTime
 	// detectionTime is the longest time from a broken connection to the detection of
 	// the upstream's crash: three heartbeats and the lag of the store.
 	detectionTime = 8 * time.Second
-	// maxFingerprints bounds the number of requests in the tally, in the
-	// blocklist, and in each upstream's list of suspects. Requests are identified
-	// by their fingerprints.
+	// maxFingerprints bounds the number of requests whose crashes are remembered, and
+	// the number of suspects of each upstream.
 	maxFingerprints = 10_000
-	// packetFingerprints bounds the number of requests in one crashReport, which
-	// must fit in a datagram.
-	packetFingerprints = 100
+	// packetRuns bounds the number of runs in one packet, which must fit in a
+	// datagram.
+	packetRuns = 20
 	// tallyVMs is the number of VMs that count the crashes of a request. It is more
 	// than one, so that one of them may fail.
 	tallyVMs = 2
 )
 
-// requestBroken is a request whose connection to the upstream broke while it ran.
-type requestBroken struct {
-	id          string
-	fingerprint crash.Fingerprint
-	upstream    string
-}
-
-// unreachable reports that an upstream accepts no connections.
-type unreachable struct{ upstream string }
-
 // How a VM learns of a crash, in logs and metrics.
 const (
 	learnedByDial           = "dial failed"
@@ -55,90 +46,108 @@
 	learnedFromMissingEntry = "entry is gone"
 )
 
+// requestBroken is a request that broke off while an upstream ran it.
+type requestBroken struct{ relay.BrokenRun }
+
+// unreachable reports that an upstream accepts no connections.
+type unreachable struct{ upstream string }
+
 func (requestBroken) event() {}
 func (unreachable) event()   {}
 
-// crashReport reports that an upstream crashed, and which requests may have been
-// the cause.
+// crashRun is a run of a request during which its upstream crashed, as VMs tell it to
+// each other. Times are sent as ages, since the clocks of VMs differ.
+type crashRun struct {
+	Fingerprint crash.Fingerprint `msgpack:"f"`
+	ID          uint64            `msgpack:"i"`
+	Upstream    string            `msgpack:"u"`
+	Sent        time.Duration     `msgpack:"s"`
+	Ended       time.Duration     `msgpack:"e"`
+}
+
+func newCrashRun(now time.Time, f crash.Fingerprint, r crash.Run) crashRun {
+	return crashRun{Fingerprint: f, ID: r.ID, Upstream: r.Upstream, Sent: now.Sub(r.Sent), Ended: now.Sub(r.Ended)}
+}
+
+func (r crashRun) at(now time.Time) crash.Run {
+	return crash.Run{ID: r.ID, Upstream: r.Upstream, Sent: now.Add(-r.Sent), Ended: now.Add(-r.Ended)}
+}
+
+// crashReport tells the VMs that count the crashes of requests of further ones.
 type crashReport struct {
-	Upstream     string              `msgpack:"u"`
-	Fingerprints []crash.Fingerprint `msgpack:"p"`
+	Runs []crashRun `msgpack:"r"`
 }
 
-// blockNotice tells a VM to block a poison request.
+// blockNotice tells a VM to block a poison request, with the runs that are the reason.
 type blockNotice struct {
-	Fingerprint crash.Fingerprint `msgpack:"p"`
+	Runs []crashRun `msgpack:"r"`
 }
 
 // poison holds what a VM knows of poison requests. Rendezvous hashing assigns
-// each request to tallyVMs VMs. For the whole fleet, these VMs count the
-// different upstreams that crashed while they ran the request. When the count
-// reaches blockThreshold, they tell all VMs to block the request.
+// each request to tallyVMs VMs, which count the crashes of upstreams under the
+// request for the whole fleet. When the count reaches blockThreshold, they tell all
+// VMs to block the request.
 type poison struct {
-	tally   *crash.Tally
+	tracker *crash.Tracker
 	pending map[string][]suspect // suspects by upstream, until the upstream is known to have crashed
-	blocked *blocklist
+	runs    int64                // number of suspects so far
+	// watched has the requests under which upstreams have crashed, and the ends of the times for which they are blocked. The request path reads it.
+	watched atomic.Pointer[map[crash.Fingerprint]time.Time]
+	stale   bool // watched lags behind tracker
 }
 
 // suspect is a request that may have crashed its upstream.
 type suspect struct {
 	fingerprint crash.Fingerprint
-	at          time.Time
+	run         crash.Run
 }
 
 func newPoison() *poison {
-	return &poison{
-		tally:   crash.NewTally(crash.TallyConfig{Upstreams: blockThreshold, TTL: crashWindow, MaxRequests: maxFingerprints}),
+	p := &poison{
+		tracker: crash.NewTracker(crash.TrackerConfig{
+			Crashes: blockThreshold, Block: blockTime, MaxBlock: maxBlockTime, TTL: crashTTL, MaxRequests: maxFingerprints,
+		}),
 		pending: map[string][]suspect{},
-		blocked: &blocklist{until: map[crash.Fingerprint]time.Time{}},
 	}
+	p.publish()
+	return p
 }
 
-// blocklist holds the blocked requests. The request path reads it concurrently.
-type blocklist struct {
-	mu    sync.Mutex
-	until map[crash.Fingerprint]time.Time
-}
-
-// remaining returns for how long a request is still blocked at now; 0 if it may
-// run.
-func (b *blocklist) remaining(now time.Time, f crash.Fingerprint) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return max(b.until[f].Sub(now), 0)
+// publish replaces watched.
+func (p *poison) publish() {
+	watched := p.tracker.Blocked()
+	p.watched.Store(&watched)
+	p.stale = false
 }
 
-func (b *blocklist) add(now time.Time, f crash.Fingerprint) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for old, until := range b.until {
-		if now.After(until) {
-			delete(b.until, old)
-		}
-	}
-	if len(b.until) < maxFingerprints {
-		b.until[f] = now.Add(blockTime)
+// expire forgets old crashes.
+func (p *poison) expire(now time.Time) {
+	if len(p.tracker.Expire(now)) > 0 || p.stale {
+		p.publish()
 	}
 }
 
-// noteBroken stores a request whose connection broke, in case its upstream turns
-// out to have crashed.
+// noteBroken stores a request that broke off, in case its upstream turns out to have
+// crashed.
 func (c *control) noteBroken(now time.Time, e requestBroken) {
-	list := c.poison.pending[e.upstream]
-	for len(list) > 0 && now.Sub(list[0].at) > detectionTime {
+	list := c.poison.pending[e.Upstream]
+	for len(list) > 0 && now.Sub(list[0].run.Ended) > detectionTime {
 		list = list[1:]
 	}
 	if len(list) < maxFingerprints {
-		list = append(list, suspect{fingerprint: e.fingerprint, at: now})
+		c.poison.runs++
+		list = append(list, suspect{fingerprint: e.Fingerprint, run: crash.Run{
+			ID: crash.RunID(c.self.Name, c.self.Boot, c.poison.runs), Upstream: e.Upstream, Sent: e.Sent, Ended: now,
+		}})
 	}
-	c.poison.pending[e.upstream] = list
+	c.poison.pending[e.Upstream] = list
 	c.metrics.Suspected("broke off")
-	c.logger.Info("crash: request broke off", zap.String("request", e.id), zap.String("upstream", e.upstream), zap.Stringer("print", e.fingerprint))
+	c.logger.Info("crash: request broke off", zap.String("request", e.Request), zap.String("upstream", e.Upstream), zap.Stringer("print", e.Fingerprint))
 }
 
-// noteCrash handles the crash of an upstream. Each request whose connection to the
-// upstream broke shortly before may be the cause, and is reported to the VMs that
-// count its crashes. learned tells how this VM learned of the crash.
+// noteCrash handles the crash of an upstream. Each request that broke off there
+// shortly before may be the cause, and is reported to the VMs that count its crashes.
+// learned tells how this VM learned of the crash.
 func (c *control) noteCrash(now time.Time, upstream, learned string) {
 	list, ok := c.poison.pending[upstream]
 	if !ok {
@@ -147,55 +156,66 @@
 	delete(c.poison.pending, upstream)
 	c.metrics.CrashLearned(learned)
 	c.logger.Info("crash: upstream crashed", zap.String("upstream", upstream), zap.String("learned", learned),
-		zap.Int("suspects", len(list)), zap.Duration("after", now.Sub(list[0].at)))
+		zap.Int("suspects", len(list)), zap.Duration("after", now.Sub(list[0].run.Ended)))
 	names, live := c.liveVMs()
-	fingerprints := map[string][]crash.Fingerprint{}
+	reports := map[string][]crashRun{}
 	for _, s := range list {
-		if now.Sub(s.at) > detectionTime {
+		if after := now.Sub(s.run.Ended); after > detectionTime {
 			c.metrics.Suspected("forgotten")
-			c.logger.Info("crash: suspect is forgotten", zap.String("upstream", upstream), zap.Stringer("print", s.fingerprint), zap.Duration("after", now.Sub(s.at)))
+			c.logger.Info("crash: suspect is forgotten", zap.String("upstream", upstream), zap.Stringer("print", s.fingerprint), zap.Duration("after", after))
 			continue
 		}
 		for _, name := range rank.Top(s.fingerprint.String(), names, tallyVMs) {
-			fingerprints[name] = append(fingerprints[name], s.fingerprint)
+			reports[name] = append(reports[name], newCrashRun(now, s.fingerprint, s.run))
 		}
 	}
-	for name, list := range fingerprints {
-		for len(list) > 0 {
-			count := min(len(list), packetFingerprints)
-			report := crashReport{Upstream: upstream, Fingerprints: list[:count]}
-			list = list[count:]
+	for name, runs := range reports {
+		for part := range slices.Chunk(runs, packetRuns) {
 			if name == c.self.Name {
-				c.countCrashes(now, &report)
+				c.countCrashes(now, part)
 				continue
 			}
-			c.transport.send(live[name].Peer, packet{CrashReport: &report})
+			c.transport.send(live[name].Peer, packet{CrashReport: &crashReport{Runs: part}})
 		}
 	}
 }
 
-// countCrashes counts a crash against each reported request, and tells all VMs to
-// block the requests that reach blockThreshold.
-func (c *control) countCrashes(now time.Time, e *crashReport) {
-	for _, f := range e.Fingerprints {
-		blocked := c.poison.tally.RecordCrash(now, f, e.Upstream)
-		c.metrics.Suspected("counted")
-		c.logger.Info("crash: counted", zap.String("upstream", e.Upstream), zap.Stringer("print", f),
-			zap.Int("crashes", c.poison.tally.Count(f)), zap.Int("limit", blockThreshold))
-		if !blocked {
-			continue
+// countCrashes counts crashes against the requests that ran meanwhile, and tells all
+// VMs to block those that reach blockThreshold.
+func (c *control) countCrashes(now time.Time, runs []crashRun) {
+	for _, f := range c.recordCrashes(now, runs) {
+		notice := &blockNotice{}
+		for _, r := range c.poison.tracker.Runs(f) {
+			notice.Runs = append(notice.Runs, newCrashRun(now, f, r))
 		}
-		c.block(now, &blockNotice{Fingerprint: f})
 		_, others := c.liveVMs()
 		for _, vm := range others {
-			c.transport.send(vm.Peer, packet{BlockNotice: &blockNotice{Fingerprint: f}})
+			c.transport.send(vm.Peer, packet{BlockNotice: notice})
 		}
 	}
 }
 
-func (c *control) block(now time.Time, e *blockNotice) {
-	c.logger.Warn("relay: blocking a request that crashes upstreams", zap.Stringer("print", e.Fingerprint), zap.Duration("for", blockTime))
-	c.poison.blocked.add(now, e.Fingerprint)
+// recordCrashes records crashes, and returns the requests that are blocked because of
+// them.
+func (c *control) recordCrashes(now time.Time, runs []crashRun) []crash.Fingerprint {
+	var blocked []crash.Fingerprint
+	for _, r := range runs {
+		if !c.poison.tracker.Record(now, r.Fingerprint, r.at(now)) {
+			continue
+		}
+		c.poison.stale = true
+		c.metrics.Suspected("counted")
+		c.logger.Info("crash: counted", zap.String("upstream", r.Upstream), zap.Stringer("print", r.Fingerprint),
+			zap.Int("crashes", len(c.poison.tracker.Runs(r.Fingerprint))), zap.Int("limit", blockThreshold))
+		if until := c.poison.tracker.BlockedUntil(r.Fingerprint); now.Before(until) {
+			c.logger.Warn("relay: blocking a request that crashes upstreams", zap.Stringer("print", r.Fingerprint), zap.Duration("for", until.Sub(now)))
+			blocked = append(blocked, r.Fingerprint)
+		}
+	}
+	if len(blocked) > 0 {
+		c.poison.publish()
+	}
+	return blocked
 }
 
 // crashTracker gives the request path access to the detection of poison
@@ -204,13 +224,11 @@
 
 // BlockedFor implements relay.CrashTracker.
 func (t crashTracker) BlockedFor(now time.Time, f crash.Fingerprint) time.Duration {
-	return t.control.poison.blocked.remaining(now, f)
+	return max((*t.control.poison.watched.Load())[f].Sub(now), 0)
 }
 
 // ReportBroken implements relay.CrashTracker.
-func (t crashTracker) ReportBroken(id string, f crash.Fingerprint, upstream string) {
-	t.control.post(requestBroken{id: id, fingerprint: f, upstream: upstream})
-}
+func (t crashTracker) ReportBroken(r relay.BrokenRun) { t.control.post(requestBroken{r}) }
 
 // ReportUnreachable implements relay.CrashTracker.
 func (t crashTracker) ReportUnreachable(upstream string) {
--- /dev/null
+++ b/internal/edge/poison_test.go
@@ -0,0 +1,86 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/tanagerlb/tanagerlb/internal/metric"
+	"github.com/tanagerlb/tanagerlb/internal/relay"
+	"github.com/tanagerlb/tanagerlb/pkg/crash"
+	"github.com/tanagerlb/tanagerlb/pkg/gossip"
+)
+
+// loneVM returns the control state of a VM that knows no others.
+func loneVM() *control {
+	self := gossip.VM{Name: "a"}
+	return &control{logger: zap.NewNop(), metrics: metric.New(), self: self, poison: newPoison(), gossip: gossip.New(gossip.Config{}, self)}
+}
+
+func brokenRun(f crash.Fingerprint, upstream string, sent time.Time) requestBroken {
+	return requestBroken{relay.BrokenRun{Fingerprint: f, Upstream: upstream, Sent: sent}}
+}
+
+// remaining returns for how long the request path refuses a request.
+func (c *control) remaining(now time.Time, f crash.Fingerprint) time.Duration {
+	return crashTracker{c}.BlockedFor(now, f)
+}
+
+// A broken connection counts against its request only after the upstream is known
+// to have crashed. The request is blocked after three crashes, also if an upstream
+// restarts under the id that it had.
+func TestRequestIsBlockedAfterCrashes(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		upstreams []string
+	}{
+		{"three upstreams", []string{"e1", "e2", "e3"}},
+		{"two upstreams", []string{"e1", "e2", "e1"}},
+		{"one upstream", []string{"e1", "e1", "e1"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			vm := loneVM()
+			for i, id := range c.upstreams {
+				at := start.Add(time.Duration(i) * time.Second)
+				is.Equal(vm.remaining(at, 7), time.Duration(0))
+				vm.noteBroken(at, brokenRun(7, id, at.Add(-100*time.Millisecond)))
+				vm.noteBroken(at, brokenRun(8, "works", at)) // its connections break, but it does not crash
+				vm.noteCrash(at.Add(100*time.Millisecond), id, learnedByDial)
+				vm.noteCrash(at.Add(200*time.Millisecond), id, learnedByDial) // the same crash, detected a second time
+			}
+			at := start.Add(3 * time.Second)
+			is.True(vm.remaining(at, 7) > 0)
+			is.Equal(vm.remaining(at, 8), time.Duration(0))
+			is.Equal(vm.remaining(at.Add(2*blockTime), 7), time.Duration(0))
+		})
+	}
+}
+
+func TestCrashLongAfterBrokenRequestIsIgnored(t *testing.T) {
+	is := is.New(t)
+	c := loneVM()
+	for _, id := range []string{"e1", "e2", "e3"} {
+		c.noteBroken(start, brokenRun(7, id, start))
+		c.noteCrash(start.Add(2*detectionTime), id, learnedByDial)
+	}
+	is.Equal(c.remaining(start.Add(2*detectionTime), 7), time.Duration(0))
+}
+
+// After the time for which it was blocked, a request that crashes one more upstream is
+// blocked again at once, for longer.
+func TestBlockIsLongerAfterEachCrash(t *testing.T) {
+	is := is.New(t)
+	c := loneVM()
+	at := start
+	for _, want := range []time.Duration{0, 0, blockTime, 2 * blockTime, 4 * blockTime} {
+		c.noteBroken(at, brokenRun(7, "e1", at))
+		c.noteCrash(at, "e1", learnedByDial)
+		is.Equal(c.remaining(at, 7), want)
+		at = at.Add(max(want, time.Second))
+		c.poison.expire(at)
+		is.Equal(c.remaining(at, 7), time.Duration(0))
+	}
+}
--- a/internal/edge/scheduling.go
+++ b/internal/edge/scheduling.go
@@ -22,9 +22,9 @@
 	case p.Records != nil:
 		c.applyForwarded(now, p.Records)
 	case p.CrashReport != nil:
-		c.countCrashes(now, p.CrashReport)
+		c.countCrashes(now, p.CrashReport.Runs)
 	case p.BlockNotice != nil:
-		c.block(now, p.BlockNotice)
+		c.recordCrashes(now, p.BlockNotice.Runs)
 	case p.SlotReply != nil:
 		c.dispatcher.handleReply(p.SlotReply)
 	case p.SlotRequest != nil:
--- a/internal/relay/crash_tracker.go
+++ b/internal/relay/crash_tracker.go
@@ -17,13 +17,21 @@
 	// BlockedFor returns how long after now the request with fingerprint f stays
 	// blocked, or 0 if the request may run.
 	BlockedFor(now time.Time, f crash.Fingerprint) time.Duration
-	// ReportBroken reports that an upstream ended a request without a complete
-	// answer; the upstream may have crashed. id is the id of the request.
-	ReportBroken(id string, f crash.Fingerprint, upstream string)
+	// ReportBroken reports a run that ended without a complete answer; the upstream
+	// may have crashed.
+	ReportBroken(r BrokenRun)
 	// ReportUnreachable reports that no connection to an upstream could be opened.
 	ReportUnreachable(upstream string)
 }
 
+// BrokenRun is a run of a request that ended without a complete answer.
+type BrokenRun struct {
+	Request     string // id of the request
+	Fingerprint crash.Fingerprint
+	Upstream    string
+	Sent        time.Time // when the request was sent to the upstream
+}
+
 // reasonPoison is the reason with which a blocked request is refused.
 const reasonPoison = "request crashes upstreams"
 
@@ -31,6 +39,9 @@
 // host, path with query, and body. A request that the same caller sends again has
 // the same fingerprint.
 func (x *exchange) fingerprint() crash.Fingerprint {
+	if x.print != 0 {
+		return x.print
+	}
 	d := xxhash.New()
 	caller, _, err := net.SplitHostPort(x.r.RemoteAddr)
 	if err != nil {
@@ -40,7 +51,8 @@
 		_, _ = d.WriteString(part + "\x00") // never fails
 	}
 	_, _ = d.Write(x.body)
-	return crash.Fingerprint(d.Sum64())
+	x.print = crash.Fingerprint(d.Sum64())
+	return x.print
 }
 
 // refuseBlocked refuses the request if it is blocked because it crashed too many
@@ -53,17 +65,18 @@
 	return remaining > 0
 }
 
-// reportBroken tells the CrashTracker that an upstream ended the request without a
-// complete answer, unless the deadline passed or the caller disconnected.
-func (x *exchange) reportBroken(upstream string) {
+// reportBroken tells the CrashTracker that an upstream ended the request, which was
+// sent at the given time, without a complete answer, unless the deadline passed or the
+// caller disconnected.
+func (x *exchange) reportBroken(upstream string, sent time.Time) {
 	if !x.ctxDone() && !x.callerGone() {
-		x.config.CrashTracker.ReportBroken(x.call.ID, x.fingerprint(), upstream)
+		x.config.CrashTracker.ReportBroken(BrokenRun{Request: x.call.ID, Fingerprint: x.fingerprint(), Upstream: upstream, Sent: sent})
 	}
 }
 
 // reportUnanswered tells the CrashTracker of a send that failed before the headers
 // of the answer arrived, unless the deadline passed or the caller disconnected.
-func (x *exchange) reportUnanswered(upstream string, err error) {
+func (x *exchange) reportUnanswered(upstream string, sent time.Time, err error) {
 	if x.ctxDone() || x.callerGone() {
 		return
 	}
@@ -71,5 +84,5 @@
 		x.config.CrashTracker.ReportUnreachable(upstream)
 		return
 	}
-	x.reportBroken(upstream)
+	x.reportBroken(upstream, sent)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -21,6 +21,7 @@
 	"github.com/tanagerlb/tanagerlb/internal/link"
 	"github.com/tanagerlb/tanagerlb/internal/metric"
 	"github.com/tanagerlb/tanagerlb/pkg/call"
+	"github.com/tanagerlb/tanagerlb/pkg/crash"
 	"github.com/tanagerlb/tanagerlb/pkg/health"
 	"github.com/tanagerlb/tanagerlb/pkg/rank"
 	"github.com/tanagerlb/tanagerlb/pkg/retry"
@@ -152,10 +153,11 @@
 	deadline    time.Time
 	ctx         context.Context //nolint:containedctx // has the lifetime of the request
 	view        *View
-	sends       int    // number of times that the request was sent to an upstream
-	mayHaveRun  bool   // an upstream may have run the request
-	headersSent bool   // status and headers were written to the caller
-	lastID      string // id of the last event written to the caller
+	sends       int               // number of times that the request was sent to an upstream
+	mayHaveRun  bool              // an upstream may have run the request
+	headersSent bool              // status and headers were written to the caller
+	lastID      string            // id of the last event written to the caller
+	print       crash.Fingerprint // 0 before the first call of fingerprint
 }
 
 // ServeHTTP forwards one request to an upstream and passes the answer back, or
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -102,7 +102,7 @@
 	request := x.outbound(send)
 	e, err := x.config.Pool.Do(x.ctx, slot.Upstream.Address, request)
 	if err != nil {
-		return x.handleUnanswered(slot, err)
+		return x.handleUnanswered(slot, sent, err)
 	}
 	reply := platform.ParseResponse(e.Response.StatusCode, e.Response.Header)
 	switch {
@@ -143,8 +143,8 @@
 
 // handleUnanswered handles a send that failed before the headers of the answer
 // arrived. It reports whether to try another engine.
-func (x *exchange) handleUnanswered(slot *Slot, err error) bool {
-	x.reportUnanswered(slot.Upstream.ID, err)
+func (x *exchange) handleUnanswered(slot *Slot, sent time.Time, err error) bool {
+	x.reportUnanswered(slot.Upstream.ID, sent, err)
 	x.config.Logger.Info("relay: engine did not answer", zap.String("request", x.call.ID),
 		zap.String("upstream", slot.Upstream.ID), zap.Error(err))
 	if x.callerGone() {
@@ -213,7 +213,7 @@
 	x.mayHaveRun = true
 	response := e.Response
 	if response.StatusCode != http.StatusOK {
-		return x.sendComplete(slot, e)
+		return x.sendComplete(slot, e, sent)
 	}
 	events := bufio.NewReader(response.Body)
 	control := http.NewResponseController(x.w)
@@ -225,7 +225,7 @@
 		}
 		if err != nil {
 			e.Close(time.Now(), false)
-			x.reportBroken(slot.Upstream.ID)
+			x.reportBroken(slot.Upstream.ID, sent)
 			return x.handleBroken(slot, "stream broke off")
 		}
 		if !gotEvent {
@@ -261,11 +261,11 @@
 
 // sendComplete reads an answer with a status other than 200, which is not an event
 // stream, and writes it to the caller. It reports whether to try another engine.
-func (x *exchange) sendComplete(slot *Slot, e *link.Exchange) bool {
+func (x *exchange) sendComplete(slot *Slot, e *link.Exchange, sent time.Time) bool {
 	body, err := io.ReadAll(io.LimitReader(e.Response.Body, maxAnswerBytes))
 	e.Close(time.Now(), err == nil)
 	if err != nil {
-		x.reportBroken(slot.Upstream.ID)
+		x.reportBroken(slot.Upstream.ID, sent)
 		return x.handleBroken(slot, "answer broke off")
 	}
 	if e.Response.StatusCode >= http.StatusInternalServerError {
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -4,8 +4,8 @@
 //
 // tanagerlb serve uses Detector: a request that was running when an engine crashed
 // becomes a suspect. If an engine crashes while it runs a suspect, a record in the
-// log blocks that request. tanagerlb edge uses Tally, which counts the different
-// upstreams that crashed while they ran a request.
+// log blocks that request. tanagerlb edge uses Tracker, which counts the crashes of
+// upstreams that ran a request.
 package crash
 
 import (
--- /dev/null
+++ b/pkg/crash/tracker.go
@@ -0,0 +1,133 @@
+package crash
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// TrackerConfig sets when a Tracker blocks a request, for how long, and what it
+// remembers.
+type TrackerConfig struct {
+	Crashes     int           // a request is blocked once this many upstreams have crashed while they ran it
+	Block       time.Duration // how long it is blocked after the last of these crashes; doubled for each further crash
+	MaxBlock    time.Duration // longest time for which a request is blocked
+	TTL         time.Duration // the crashes of a request are forgotten when no further one follows for this long; longer than MaxBlock
+	MaxRequests int           // maximum number of requests whose crashes are remembered
+}
+
+// Run is a run of a request during which its upstream crashed.
+type Run struct {
+	ID       uint64    // identifies the run among the runs of all VMs
+	Upstream string    // id of the upstream
+	Sent     time.Time // when the request was sent to the upstream
+	Ended    time.Time // when the request broke off
+}
+
+// RunID returns the ID of a run: the VM that sent the request, the start of its
+// process in Unix milliseconds, and the number of the run there.
+func RunID(vm string, boot, number int64) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%s.%d.%d", vm, boot, number))
+}
+
+// overlaps reports whether two runs may have seen the same crash. An upstream may
+// restart under its id, so that its id alone does not tell two crashes apart.
+func (r Run) overlaps(other Run) bool {
+	return r.Upstream == other.Upstream && !r.Sent.After(other.Ended) && !other.Sent.After(r.Ended)
+}
+
+// maxRuns bounds the runs that are remembered of one request.
+const maxRuns = 10
+
+// Tracker counts, for each fingerprint, the crashes of upstreams that ran a request
+// with that fingerprint. It has no state but the runs that were recorded, so all
+// trackers with the same runs block the same requests. Its methods must not be
+// called concurrently.
+type Tracker struct {
+	config TrackerConfig
+	runs   map[Fingerprint][]Run // sorted by Ended
+}
+
+// NewTracker returns an empty tracker.
+func NewTracker(c TrackerConfig) *Tracker {
+	return &Tracker{config: c, runs: map[Fingerprint][]Run{}}
+}
+
+// Record records a crash of an upstream under a request. It returns false if the
+// crash is already known or too old.
+func (t *Tracker) Record(now time.Time, f Fingerprint, r Run) bool {
+	if now.Sub(r.Ended) > t.config.TTL {
+		return false
+	}
+	known := t.runs[f]
+	if slices.ContainsFunc(known, func(k Run) bool { return k.ID == r.ID || k.overlaps(r) }) {
+		return false
+	}
+	if len(known) == 0 && len(t.runs) >= t.config.MaxRequests {
+		t.evict(now)
+	}
+	runs := append(slices.Clone(known), r)
+	slices.SortFunc(runs, func(a, b Run) int { return a.Ended.Compare(b.Ended) })
+	t.runs[f] = runs[max(len(runs)-maxRuns, 0):]
+	return true
+}
+
+// Runs returns the runs of a request during which an upstream crashed, one for each
+// crash.
+func (t *Tracker) Runs(f Fingerprint) []Run { return t.runs[f] }
+
+// BlockedUntil returns the end of the time for which a request is blocked. It is the
+// zero time if too few upstreams have crashed.
+func (t *Tracker) BlockedUntil(f Fingerprint) time.Time {
+	runs := t.runs[f]
+	if len(runs) < t.config.Crashes {
+		return time.Time{}
+	}
+	block := t.config.Block
+	for range len(runs) - t.config.Crashes {
+		block = min(2*block, t.config.MaxBlock)
+	}
+	return runs[len(runs)-1].Ended.Add(block)
+}
+
+// Blocked returns the end of the time for which each request is blocked under which
+// an upstream has crashed; the zero time if too few have.
+func (t *Tracker) Blocked() map[Fingerprint]time.Time {
+	blocked := make(map[Fingerprint]time.Time, len(t.runs))
+	for f := range t.runs {
+		blocked[f] = t.BlockedUntil(f)
+	}
+	return blocked
+}
+
+// Expire forgets the requests whose last crash is older than TrackerConfig.TTL, and
+// returns their fingerprints.
+func (t *Tracker) Expire(now time.Time) []Fingerprint {
+	var expired []Fingerprint
+	for f, runs := range t.runs {
+		if now.Sub(runs[len(runs)-1].Ended) > t.config.TTL {
+			delete(t.runs, f)
+			expired = append(expired, f)
+		}
+	}
+	return expired
+}
+
+// evict makes room for one more request. It removes the expired requests or, if there
+// are none, the one with the fewest crashes, of these the one with the oldest.
+func (t *Tracker) evict(now time.Time) {
+	if len(t.Expire(now)) > 0 {
+		return
+	}
+	var victim Fingerprint
+	var least []Run
+	for f, runs := range t.runs {
+		if least == nil || len(runs) < len(least) ||
+			(len(runs) == len(least) && runs[len(runs)-1].Ended.Before(least[len(least)-1].Ended)) {
+			victim, least = f, runs
+		}
+	}
+	delete(t.runs, victim)
+}
--- /dev/null
+++ b/pkg/crash/tracker_test.go
@@ -0,0 +1,81 @@
+package crash_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tanagerlb/tanagerlb/pkg/crash"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+var config = crash.TrackerConfig{Crashes: 3, Block: time.Minute, MaxBlock: 5 * time.Minute, TTL: 10 * time.Minute, MaxRequests: 10}
+
+// run returns a run that lasted from one second after start to another.
+func run(id uint64, upstream string, sent, ended float64) crash.Run {
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	return crash.Run{ID: id, Upstream: upstream, Sent: at(sent), Ended: at(ended)}
+}
+
+func TestTrackerBlocksAfterSeveralCrashes(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		runs    []crash.Run
+		blocked time.Duration // from start; 0 if the request is not blocked
+	}{
+		{"three upstreams", []crash.Run{run(1, "e1", 0, 1), run(2, "e2", 2, 3), run(3, "e3", 4, 5)}, 65 * time.Second},
+		{"two upstreams", []crash.Run{run(1, "e1", 0, 1), run(2, "e2", 2, 3)}, 0},
+		{"at the same time", []crash.Run{run(1, "e1", 0, 1), run(2, "e2", 0, 1), run(3, "e3", 0, 1)}, 61 * time.Second},
+		{"an upstream that restarts under its id", []crash.Run{run(1, "e1", 0, 1), run(2, "e1", 2, 3), run(3, "e1", 4, 5)}, 65 * time.Second},
+		{"one crash, seen by three runs", []crash.Run{run(1, "e1", 0, 1), run(2, "e1", 0.5, 1.1), run(3, "e1", 0.9, 1)}, 0},
+		{"one run, reported three times", []crash.Run{run(1, "e1", 0, 1), run(1, "e1", 2, 3), run(1, "e1", 4, 5)}, 0},
+		{"reported late", []crash.Run{run(3, "e3", 4, 5), run(1, "e1", 0, 1), run(2, "e2", 2, 3)}, 65 * time.Second},
+		{"a fourth crash", []crash.Run{run(1, "e1", 0, 1), run(2, "e2", 2, 3), run(3, "e3", 4, 5), run(4, "e4", 65, 66)}, 186 * time.Second},
+		{"many crashes", []crash.Run{run(1, "e1", 0, 1), run(2, "e2", 2, 3), run(3, "e3", 4, 5), run(4, "e4", 6, 7), run(5, "e5", 8, 9), run(6, "e6", 10, 11)}, 311 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			tracker := crash.NewTracker(config)
+			for _, r := range c.runs {
+				tracker.Record(r.Ended, 7, r)
+			}
+			until := tracker.BlockedUntil(7)
+			is.Equal(!until.IsZero(), c.blocked > 0)
+			if c.blocked > 0 {
+				is.Equal(until, start.Add(c.blocked))
+			}
+			is.True(tracker.BlockedUntil(8).IsZero())
+		})
+	}
+}
+
+func TestTrackerForgetsOldCrashes(t *testing.T) {
+	is := is.New(t)
+	tracker := crash.NewTracker(config)
+	is.True(tracker.Record(start, 7, run(1, "e1", 0, 1)))
+	is.Equal(len(tracker.Expire(start.Add(9*time.Minute))), 0)
+	is.Equal(tracker.Expire(start.Add(11*time.Minute)), []crash.Fingerprint{7})
+	is.True(!tracker.Record(start.Add(11*time.Minute), 7, run(1, "e1", 0, 1)))
+	is.Equal(len(tracker.Runs(7)), 0)
+}
+
+// Many requests that ran when upstreams crashed must not displace one that has crashed
+// several.
+func TestTrackerIsBounded(t *testing.T) {
+	is := is.New(t)
+	tracker := crash.NewTracker(config)
+	tracker.Record(start, 1, run(1, "e1", 0, 1))
+	tracker.Record(start, 1, run(2, "e2", 0, 1))
+	for i := range 100 {
+		tracker.Record(start, crash.Fingerprint(1000+i), run(uint64(10+i), fmt.Sprint("e", i), 2, 3))
+	}
+	is.Equal(len(tracker.Runs(1)), 2)
+	remembered := 0
+	for i := range 100 {
+		remembered += len(tracker.Runs(crash.Fingerprint(1000 + i)))
+	}
+	is.Equal(remembered, config.MaxRequests-1)
+}
