fix(edge): a request that runs to its end is not the cause of crashes

Cause: only what speaks against a request was kept, nothing that speaks for it. Crashes are also learned of seconds later, when the request has run well again.

Fix: a complete answer ends all suspicion against the request's fingerprint, counted or not yet, on that VM and on those that count.

TestRequestThatRunsToItsEndIsNotBlocked and ...IsNoSuspect failed before (blocked after the third crash).

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -239,6 +239,9 @@
 	case unreachable:
 		c.noteCrash(now, e.upstream, learnedByDial)
 		return
+	case requestCompleted:
+		c.noteCompleted(e.fingerprint)
+		return
 	case claimDone:
 		c.claiming = false
 		if e.err != nil {
--- a/internal/edge/packet.go
+++ b/internal/edge/packet.go
@@ -25,6 +25,7 @@
 	Records     *forwardedRecords `msgpack:"l,omitempty"`
 	CrashReport *crashReport      `msgpack:"x,omitempty"`
 	BlockNotice *blockNotice      `msgpack:"y,omitempty"`
+	ClearNotice *clearNotice      `msgpack:"z,omitempty"`
 }
 
 // probe is a failure detector probe, or the reply to one. It carries membership
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -52,8 +52,13 @@
 // unreachable reports that an upstream accepts no connections.
 type unreachable struct{ upstream string }
 
-func (requestBroken) event() {}
-func (unreachable) event()   {}
+// requestCompleted reports that a request ran to its end although upstreams have
+// crashed under it before.
+type requestCompleted struct{ fingerprint crash.Fingerprint }
+
+func (requestBroken) event()    {}
+func (unreachable) event()      {}
+func (requestCompleted) event() {}
 
 // crashRun is a run of a request during which its upstream crashed, as VMs tell it to
 // each other. Times are sent as ages, since the clocks of VMs differ.
@@ -83,6 +88,12 @@
 	Runs []crashRun `msgpack:"r"`
 }
 
+// clearNotice tells the VMs that count the crashes of a request that it ran to its
+// end.
+type clearNotice struct {
+	Fingerprint crash.Fingerprint `msgpack:"f"`
+}
+
 // poison holds what a VM knows of poison requests. Rendezvous hashing assigns
 // each request to tallyVMs VMs, which count the crashes of upstreams under the
 // request for the whole fleet. When the count reaches blockThreshold, they tell all
@@ -91,9 +102,10 @@
 	tracker *crash.Tracker
 	pending map[string][]suspect // suspects by upstream, until the upstream is known to have crashed
 	runs    int64                // number of suspects so far
-	// watched has the requests under which upstreams have crashed, and the ends of the times for which they are blocked. The request path reads it.
+	// watched has the requests under which upstreams have crashed or may have, and the
+	// ends of the times for which they are blocked. The request path reads it.
 	watched atomic.Pointer[map[crash.Fingerprint]time.Time]
-	stale   bool // watched lags behind tracker
+	stale   bool // watched lags behind tracker and pending
 }
 
 // suspect is a request that may have crashed its upstream.
@@ -116,10 +128,29 @@
 // publish replaces watched.
 func (p *poison) publish() {
 	watched := p.tracker.Blocked()
+	for _, list := range p.pending {
+		for _, s := range list {
+			if _, ok := watched[s.fingerprint]; !ok {
+				watched[s.fingerprint] = time.Time{}
+			}
+		}
+	}
 	p.watched.Store(&watched)
 	p.stale = false
 }
 
+// clear forgets that upstreams crashed under a request, or may have. It reports
+// whether any is known to have.
+func (p *poison) clear(f crash.Fingerprint) bool {
+	for upstream, list := range p.pending {
+		p.pending[upstream] = slices.DeleteFunc(list, func(s suspect) bool { return s.fingerprint == f })
+	}
+	counted := len(p.tracker.Runs(f)) > 0
+	p.tracker.Clear(f)
+	p.publish()
+	return counted
+}
+
 // expire forgets old crashes.
 func (p *poison) expire(now time.Time) {
 	if len(p.tracker.Expire(now)) > 0 || p.stale {
@@ -140,7 +171,7 @@
 			ID: crash.RunID(c.self.Name, c.self.Boot, c.poison.runs), Upstream: e.Upstream, Sent: e.Sent, Ended: now,
 		}})
 	}
-	c.poison.pending[e.Upstream] = list
+	c.poison.pending[e.Upstream], c.poison.stale = list, true
 	c.metrics.Suspected("broke off")
 	c.logger.Info("crash: request broke off", zap.String("request", e.Request), zap.String("upstream", e.Upstream), zap.Stringer("print", e.Fingerprint))
 }
@@ -154,6 +185,10 @@
 		return
 	}
 	delete(c.poison.pending, upstream)
+	c.poison.stale = true
+	if len(list) == 0 {
+		return
+	}
 	c.metrics.CrashLearned(learned)
 	c.logger.Info("crash: upstream crashed", zap.String("upstream", upstream), zap.String("learned", learned),
 		zap.Int("suspects", len(list)), zap.Duration("after", now.Sub(list[0].run.Ended)))
@@ -218,6 +253,30 @@
 	return blocked
 }
 
+// noteCompleted handles the complete run of a request under which upstreams have
+// crashed before, or may have: the request is not the cause.
+func (c *control) noteCompleted(f crash.Fingerprint) {
+	if !c.clear(f) {
+		return
+	}
+	names, live := c.liveVMs()
+	for _, name := range rank.Top(f.String(), names, tallyVMs) {
+		if name != c.self.Name {
+			c.transport.send(live[name].Peer, packet{ClearNotice: &clearNotice{Fingerprint: f}})
+		}
+	}
+}
+
+// clear forgets the crashes of a request. It reports whether there were any.
+func (c *control) clear(f crash.Fingerprint) bool {
+	if !c.poison.clear(f) {
+		return false
+	}
+	c.metrics.Suspected("cleared")
+	c.logger.Info("crash: request ran to its end", zap.Stringer("print", f))
+	return true
+}
+
 // crashTracker gives the request path access to the detection of poison
 // requests.
 type crashTracker struct{ control *control }
@@ -234,3 +293,10 @@
 func (t crashTracker) ReportUnreachable(upstream string) {
 	t.control.post(unreachable{upstream: upstream})
 }
+
+// ReportCompleted implements relay.CrashTracker.
+func (t crashTracker) ReportCompleted(f crash.Fingerprint) {
+	if _, suspected := (*t.control.poison.watched.Load())[f]; suspected {
+		t.control.post(requestCompleted{fingerprint: f})
+	}
+}
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -69,6 +69,37 @@
 	is.Equal(c.remaining(start.Add(2*detectionTime), 7), time.Duration(0))
 }
 
+// A request that happened to run when upstreams crashed must not be blocked if it has
+// run to its end meanwhile.
+func TestRequestThatRunsToItsEndIsNotBlocked(t *testing.T) {
+	is := is.New(t)
+	c := loneVM()
+	for i := range 5 {
+		at := start.Add(time.Duration(i) * time.Second)
+		c.noteBroken(at, brokenRun(7, "e1", at))
+		c.noteCrash(at, "e1", learnedByDial)
+		c.noteCompleted(7)
+		is.Equal(c.remaining(at, 7), time.Duration(0))
+	}
+}
+
+// The same must hold if the crashes are learned of only after the complete run.
+func TestRequestThatRunsToItsEndIsNoSuspect(t *testing.T) {
+	is := is.New(t)
+	c := loneVM()
+	for _, id := range []string{"e1", "e2", "e3"} {
+		c.noteBroken(start, brokenRun(7, id, start))
+	}
+	c.poison.expire(start)
+	_, watched := (*c.poison.watched.Load())[7]
+	is.True(watched) // the request path reports its complete runs
+	c.noteCompleted(7)
+	for _, id := range []string{"e1", "e2", "e3"} {
+		c.noteCrash(start.Add(3*time.Second), id, learnedFromMissingEntry)
+	}
+	is.Equal(c.remaining(start.Add(3*time.Second), 7), time.Duration(0))
+}
+
 // After the time for which it was blocked, a request that crashes one more upstream is
 // blocked again at once, for longer.
 func TestBlockIsLongerAfterEachCrash(t *testing.T) {
--- a/internal/edge/scheduling.go
+++ b/internal/edge/scheduling.go
@@ -25,6 +25,8 @@
 		c.countCrashes(now, p.CrashReport.Runs)
 	case p.BlockNotice != nil:
 		c.recordCrashes(now, p.BlockNotice.Runs)
+	case p.ClearNotice != nil:
+		c.clear(p.ClearNotice.Fingerprint)
 	case p.SlotReply != nil:
 		c.dispatcher.handleReply(p.SlotReply)
 	case p.SlotRequest != nil:
--- a/internal/relay/crash_tracker.go
+++ b/internal/relay/crash_tracker.go
@@ -22,6 +22,9 @@
 	ReportBroken(r BrokenRun)
 	// ReportUnreachable reports that no connection to an upstream could be opened.
 	ReportUnreachable(upstream string)
+	// ReportCompleted reports that an upstream answered the request with fingerprint f
+	// completely.
+	ReportCompleted(f crash.Fingerprint)
 }
 
 // BrokenRun is a run of a request that ended without a complete answer.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -355,8 +355,9 @@
 	x.config.Logger.Info("relay: "+outcome, fields...)
 }
 
-// recordAnswer counts and logs a complete answer of an upstream.
+// recordAnswer reports, counts and logs a complete answer of an upstream.
 func (x *exchange) recordAnswer(upstream string, status int) {
+	x.config.CrashTracker.ReportCompleted(x.fingerprint())
 	x.config.Metrics.Answered(x.route.Kind.String())
 	x.config.Metrics.Latency(x.route.Kind.String(), time.Since(x.started))
 	x.config.Logger.Info("relay: answered", zap.String("request", x.call.ID), zap.String("upstream", upstream),
--- a/pkg/crash/tracker.go
+++ b/pkg/crash/tracker.go
@@ -74,6 +74,10 @@
 	return true
 }
 
+// Clear forgets the crashes of a request. It is to be called when the request has run
+// to its end.
+func (t *Tracker) Clear(f Fingerprint) { delete(t.runs, f) }
+
 // Runs returns the runs of a request during which an upstream crashed, one for each
 // crash.
 func (t *Tracker) Runs(f Fingerprint) []Run { return t.runs[f] }
--- a/pkg/crash/tracker_test.go
+++ b/pkg/crash/tracker_test.go
@@ -52,6 +52,20 @@
 	}
 }
 
+// A request that has run to its end is not the cause of the crashes before.
+func TestTrackerForgetsCrashesAfterACompleteRun(t *testing.T) {
+	is := is.New(t)
+	tracker := crash.NewTracker(config)
+	for i := range 6 {
+		r := run(uint64(i), "e1", float64(10*i), float64(10*i+1))
+		tracker.Record(r.Ended, 7, r)
+		if i%2 == 1 {
+			tracker.Clear(7)
+		}
+	}
+	is.True(tracker.BlockedUntil(7).IsZero())
+}
+
 func TestTrackerForgetsOldCrashes(t *testing.T) {
 	is := is.New(t)
 	tracker := crash.NewTracker(config)
