fix(edge): recognize a poison request from any address

Seen: a request that crashes upstreams reached 20 to 22 of them in 14 s where its caller sent it from eight addresses, and 14 and 15 of them late.

Cause: the fingerprint began with the address of the caller's connection. Each new address (another network, another address of a shared gateway) had its own count. The upstream does not get that address, so it cannot be part of what crashes it. But the adapter was not part of the fingerprint, nor the caller's credentials, which the upstream does get.

Fix: the fingerprint is of method, host, path with query, adapter, credentials (the headers Authorization and Cookie) and body.

--- a/internal/relay/crash_tracker.go
+++ b/internal/relay/crash_tracker.go
@@ -2,7 +2,7 @@
 
 import (
 	"errors"
-	"net"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,21 +38,23 @@
 // reasonPoison is the reason with which a blocked request is refused.
 const reasonPoison = "request crashes upstreams"
 
-// fingerprint returns a hash of the caller's IP address and the request's method,
-// host, path with query, and body. A request that the same caller sends again has
-// the same fingerprint.
+// credentialHeaders are the headers that tell an upstream who the caller is.
+var credentialHeaders = []string{"Authorization", "Cookie"}
+
+// fingerprint returns a hash of what the upstream gets of the request, without the
+// headers that differ between the repeats of a request. The caller's address is not
+// part of it: upstreams don't see it, and it changes.
 func (x *exchange) fingerprint() crash.Fingerprint {
 	if x.print != 0 {
 		return x.print
 	}
 	d := xxhash.New()
-	caller, _, err := net.SplitHostPort(x.r.RemoteAddr)
-	if err != nil {
-		caller = x.r.RemoteAddr
-	}
-	for _, part := range []string{caller, x.r.Method, x.r.Host, x.r.RequestURI} {
+	for _, part := range []string{x.r.Method, x.r.Host, x.r.RequestURI, x.call.Model, x.call.Adapter} {
 		_, _ = d.WriteString(part + "\x00") // never fails
 	}
+	for _, name := range credentialHeaders {
+		_, _ = d.WriteString(strings.Join(x.r.Header.Values(name), "\x00") + "\x00") // never fails
+	}
 	_, _ = d.Write(x.body)
 	x.print = crash.Fingerprint(d.Sum64())
 	return x.print
