fix(edge): learn of a crash from the upstream itself

Seen: a request that crashes upstreams was sent on while nobody knew that they had crashed. With callers that give up after 0.6 s on an upstream that fell silent it reached 12 to 14 of them in 14 s, 6 to 8 of them late: nothing at all was counted. With callers that wait, a crash was learned of after 2 to 4 s.

Cause: a VM learned of a crash only if it happened to send another request there, or when the store dropped the upstream's entry, three heartbeats later; and a request whose caller left or whose deadline passed was never held to be a suspect. Evidence: crash: upstream crashed learned="entry is gone" after=3.2s to 3.8s; no crash: line at all in the set-up whose caller leaves.

Fix: when a request breaks off, the VM opens a connection to the upstream, once for all requests that broke off there, and keeps it for later requests if it succeeds. A request that ends after its upstream was silent for 0.5 s or more is a suspect too; that alone is no reason for a check.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -137,7 +137,8 @@
 	events     chan event
 	view       atomic.Pointer[relay.View]
 	directory  atomic.Pointer[directory]
-	closeIdle  func(netip.AddrPort) // closes connections to the address of an upstream that left
+	closeIdle  func(netip.AddrPort)                        // closes connections to the address of an upstream that left
+	check      func(context.Context, netip.AddrPort) error // opens a connection to an upstream
 
 	table           *route.Table
 	roster          *roster.Table
@@ -234,7 +235,10 @@
 		c.reportDone(ctx, now, e)
 		return
 	case requestBroken:
-		c.noteBroken(now, e)
+		c.noteBroken(ctx, now, e)
+		return
+	case upstreamChecked:
+		delete(c.poison.probing, e.upstream)
 		return
 	case unreachable:
 		c.noteCrash(now, e.upstream, learnedByDial)
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"context"
+	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -10,6 +12,7 @@
 	"github.com/tanagerlb/tanagerlb/internal/relay"
 	"github.com/tanagerlb/tanagerlb/pkg/crash"
 	"github.com/tanagerlb/tanagerlb/pkg/rank"
+	"github.com/tanagerlb/tanagerlb/pkg/roster"
 )
 
 // Parameters of the detection of poison requests, which crash the upstreams that
@@ -46,6 +49,10 @@
 	learnedFromMissingEntry = "entry is gone"
 )
 
+// probeDelay is the time from a broken connection to the check whether its upstream
+// still accepts connections: a process that ends closes them one after the other.
+const probeDelay = 50 * time.Millisecond
+
 // requestBroken is a request that broke off while an upstream ran it.
 type requestBroken struct{ relay.BrokenRun }
 
@@ -56,6 +63,11 @@
 // crashed under it before.
 type requestCompleted struct{ fingerprint crash.Fingerprint }
 
+// upstreamChecked reports that the check of an upstream has ended, and that it accepts
+// connections if no unreachable event came before.
+type upstreamChecked struct{ upstream string }
+
+func (upstreamChecked) event()  {}
 func (requestBroken) event()    {}
 func (unreachable) event()      {}
 func (requestCompleted) event() {}
@@ -102,6 +114,7 @@
 	tracker *crash.Tracker
 	pending map[string][]suspect // suspects by upstream, until the upstream is known to have crashed
 	runs    int64                // number of suspects so far
+	probing map[string]bool      // upstreams that are being checked
 	// watched has the requests under which upstreams have crashed or may have, and the
 	// ends of the times for which they are blocked. The request path reads it.
 	watched atomic.Pointer[map[crash.Fingerprint]time.Time]
@@ -119,7 +132,7 @@
 		tracker: crash.NewTracker(crash.TrackerConfig{
 			Crashes: blockThreshold, Block: blockTime, MaxBlock: maxBlockTime, TTL: crashTTL, MaxRequests: maxFingerprints,
 		}),
-		pending: map[string][]suspect{},
+		pending: map[string][]suspect{}, probing: map[string]bool{},
 	}
 	p.publish()
 	return p
@@ -158,22 +171,44 @@
 	}
 }
 
+// crashProbe checks whether an upstream still accepts connections.
+type crashProbe struct {
+	check    func(context.Context, netip.AddrPort) error
+	post     func(event)
+	upstream roster.Upstream
+}
+
+func (p *crashProbe) run(ctx context.Context) {
+	time.Sleep(probeDelay)
+	if err := p.check(ctx, p.upstream.Address); err != nil && ctx.Err() == nil {
+		p.post(unreachable{upstream: p.upstream.ID})
+	}
+	p.post(upstreamChecked{upstream: p.upstream.ID})
+}
+
 // noteBroken stores a request that broke off, in case its upstream turns out to have
-// crashed.
-func (c *control) noteBroken(now time.Time, e requestBroken) {
-	list := c.poison.pending[e.Upstream]
+// crashed. If the upstream closed the connection, it is checked at once: this VM may
+// have no other request for it, and the store drops its entry only after seconds.
+func (c *control) noteBroken(ctx context.Context, now time.Time, e requestBroken) {
+	id := e.Upstream.ID
+	if !e.Silent && !c.poison.probing[id] {
+		c.poison.probing[id] = true
+		go (&crashProbe{check: c.check, post: c.post, upstream: e.Upstream}).run(ctx)
+	}
+	list := c.poison.pending[id]
 	for len(list) > 0 && now.Sub(list[0].run.Ended) > detectionTime {
 		list = list[1:]
 	}
 	if len(list) < maxFingerprints {
 		c.poison.runs++
 		list = append(list, suspect{fingerprint: e.Fingerprint, run: crash.Run{
-			ID: crash.RunID(c.self.Name, c.self.Boot, c.poison.runs), Upstream: e.Upstream, Sent: e.Sent, Ended: now,
+			ID: crash.RunID(c.self.Name, c.self.Boot, c.poison.runs), Upstream: id, Sent: e.Sent, Ended: now,
 		}})
 	}
-	c.poison.pending[e.Upstream], c.poison.stale = list, true
+	c.poison.pending[id], c.poison.stale = list, true
 	c.metrics.Suspected("broke off")
-	c.logger.Info("crash: request broke off", zap.String("request", e.Request), zap.String("upstream", e.Upstream), zap.Stringer("print", e.Fingerprint))
+	c.logger.Info("crash: request broke off", zap.String("request", e.Request), zap.String("upstream", id),
+		zap.Stringer("print", e.Fingerprint), zap.Bool("silent", e.Silent))
 }
 
 // noteCrash handles the crash of an upstream. Each request that broke off there
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -1,6 +1,9 @@
 package edge
 
 import (
+	"context"
+	"errors"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -11,16 +14,20 @@
 	"github.com/tanagerlb/tanagerlb/internal/relay"
 	"github.com/tanagerlb/tanagerlb/pkg/crash"
 	"github.com/tanagerlb/tanagerlb/pkg/gossip"
+	"github.com/tanagerlb/tanagerlb/pkg/roster"
 )
 
 // loneVM returns the control state of a VM that knows no others.
 func loneVM() *control {
 	self := gossip.VM{Name: "a"}
-	return &control{logger: zap.NewNop(), metrics: metric.New(), self: self, poison: newPoison(), gossip: gossip.New(gossip.Config{}, self)}
+	return &control{
+		logger: zap.NewNop(), metrics: metric.New(), self: self, poison: newPoison(), gossip: gossip.New(gossip.Config{}, self),
+		events: make(chan event, 100), check: func(context.Context, netip.AddrPort) error { return nil },
+	}
 }
 
 func brokenRun(f crash.Fingerprint, upstream string, sent time.Time) requestBroken {
-	return requestBroken{relay.BrokenRun{Fingerprint: f, Upstream: upstream, Sent: sent}}
+	return requestBroken{relay.BrokenRun{Fingerprint: f, Upstream: roster.Upstream{ID: upstream}, Sent: sent}}
 }
 
 // remaining returns for how long the request path refuses a request.
@@ -46,8 +53,8 @@
 			for i, id := range c.upstreams {
 				at := start.Add(time.Duration(i) * time.Second)
 				is.Equal(vm.remaining(at, 7), time.Duration(0))
-				vm.noteBroken(at, brokenRun(7, id, at.Add(-100*time.Millisecond)))
-				vm.noteBroken(at, brokenRun(8, "works", at)) // its connections break, but it does not crash
+				vm.noteBroken(t.Context(), at, brokenRun(7, id, at.Add(-100*time.Millisecond)))
+				vm.noteBroken(t.Context(), at, brokenRun(8, "works", at)) // its connections break, but it does not crash
 				vm.noteCrash(at.Add(100*time.Millisecond), id, learnedByDial)
 				vm.noteCrash(at.Add(200*time.Millisecond), id, learnedByDial) // the same crash, detected a second time
 			}
@@ -59,11 +66,53 @@
 	}
 }
 
+// A VM that has no further request for an upstream learned of its crash only when the
+// store dropped the entry, some seconds later.
+func TestCrashIsLearnedOfWithoutFurtherRequests(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		refused error
+		silent  bool
+		checks  int
+		crashed bool
+	}{
+		{"connections are refused", errors.New("connection refused"), false, 1, true},
+		{"connections are accepted", nil, false, 1, false},
+		{"the upstream closed no connection", errors.New("connection refused"), true, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			vm := loneVM()
+			checks := 0
+			vm.check = func(context.Context, netip.AddrPort) error {
+				checks++
+				return c.refused
+			}
+			broken := brokenRun(7, "e1", start)
+			broken.Silent = c.silent
+			for range 3 {
+				vm.noteBroken(t.Context(), start, broken)
+			}
+			crashed := false
+			for range 2 * c.checks {
+				select {
+				case e := <-vm.events:
+					_, ok := e.(unreachable)
+					crashed = crashed || ok
+				case <-time.After(4 * probeDelay):
+				}
+			}
+			is.Equal(checks, c.checks)
+			is.Equal(crashed, c.crashed)
+		})
+	}
+}
+
 func TestCrashLongAfterBrokenRequestIsIgnored(t *testing.T) {
 	is := is.New(t)
 	c := loneVM()
 	for _, id := range []string{"e1", "e2", "e3"} {
-		c.noteBroken(start, brokenRun(7, id, start))
+		c.noteBroken(t.Context(), start, brokenRun(7, id, start))
 		c.noteCrash(start.Add(2*detectionTime), id, learnedByDial)
 	}
 	is.Equal(c.remaining(start.Add(2*detectionTime), 7), time.Duration(0))
@@ -76,7 +125,7 @@
 	c := loneVM()
 	for i := range 5 {
 		at := start.Add(time.Duration(i) * time.Second)
-		c.noteBroken(at, brokenRun(7, "e1", at))
+		c.noteBroken(t.Context(), at, brokenRun(7, "e1", at))
 		c.noteCrash(at, "e1", learnedByDial)
 		c.noteCompleted(7)
 		is.Equal(c.remaining(at, 7), time.Duration(0))
@@ -88,7 +137,7 @@
 	is := is.New(t)
 	c := loneVM()
 	for _, id := range []string{"e1", "e2", "e3"} {
-		c.noteBroken(start, brokenRun(7, id, start))
+		c.noteBroken(t.Context(), start, brokenRun(7, id, start))
 	}
 	c.poison.expire(start)
 	_, watched := (*c.poison.watched.Load())[7]
@@ -107,7 +156,7 @@
 	c := loneVM()
 	at := start
 	for _, want := range []time.Duration{0, 0, blockTime, 2 * blockTime, 4 * blockTime} {
-		c.noteBroken(at, brokenRun(7, "e1", at))
+		c.noteBroken(t.Context(), at, brokenRun(7, "e1", at))
 		c.noteCrash(at, "e1", learnedByDial)
 		is.Equal(c.remaining(at, 7), want)
 		at = at.Add(max(want, time.Second))
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -232,6 +232,11 @@
 	if c != nil {
 		return c, nil
 	}
+	return p.open(ctx, address)
+}
+
+// open opens a connection to the upstream.
+func (p *Pool) open(ctx context.Context, address netip.AddrPort) (*conn, error) {
 	opened, err := p.dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
@@ -240,6 +245,19 @@
 	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, bufferSize)}, nil
 }
 
+// Check opens a connection to the upstream at an address, and keeps it for later
+// requests. It returns an error if no connection can be opened.
+func (p *Pool) Check(ctx context.Context, address netip.AddrPort) error {
+	c, err := p.open(ctx, address)
+	if err != nil {
+		return err
+	}
+	c.lastUsed = time.Now()
+	c.expires = c.lastUsed.Add(p.config.IdleTimeout)
+	p.put(address, c)
+	return nil
+}
+
 // put adds an idle connection to the pool, or closes it if the pool already holds
 // MaxIdle idle connections to the upstream.
 func (p *Pool) put(address netip.AddrPort, c *conn) {
--- a/internal/relay/crash_tracker.go
+++ b/internal/relay/crash_tracker.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"strings"
 	"time"
@@ -9,6 +10,7 @@
 
 	"github.com/tanagerlb/tanagerlb/internal/link"
 	"github.com/tanagerlb/tanagerlb/pkg/crash"
+	"github.com/tanagerlb/tanagerlb/pkg/roster"
 )
 
 // CrashTracker tracks poison requests, which crash the upstreams that run them, and
@@ -31,10 +33,15 @@
 type BrokenRun struct {
 	Request     string // id of the request
 	Fingerprint crash.Fingerprint
-	Upstream    string
+	Upstream    roster.Upstream
 	Sent        time.Time // when the request was sent to the upstream
+	Silent      bool      // the upstream left the connection open and sent nothing
 }
 
+// quietTime is how long an upstream has to be silent before the end of a request by
+// its deadline or its caller for the upstream to count as one that may have crashed.
+const quietTime = 500 * time.Millisecond
+
 // reasonPoison is the reason with which a blocked request is refused.
 const reasonPoison = "request crashes upstreams"
 
@@ -70,24 +77,33 @@
 	return remaining > 0
 }
 
-// reportBroken tells the CrashTracker that an upstream ended the request, which was
-// sent at the given time, without a complete answer, unless the deadline passed or the
-// caller disconnected.
-func (x *exchange) reportBroken(upstream string, sent time.Time) {
-	if !x.ctxDone() && !x.callerGone() {
-		x.config.CrashTracker.ReportBroken(BrokenRun{Request: x.call.ID, Fingerprint: x.fingerprint(), Upstream: upstream, Sent: sent})
+// reportBroken tells the CrashTracker that the request, which was sent to an upstream
+// at the given time, ended without a complete answer because of err.
+func (x *exchange) reportBroken(u roster.Upstream, sent time.Time, err error) {
+	ended := x.ctxDone() || x.callerGone()
+	if ended && time.Since(later(sent, x.heardAt)) < quietTime {
+		return
 	}
+	x.config.CrashTracker.ReportBroken(BrokenRun{
+		Request: x.call.ID, Fingerprint: x.fingerprint(), Upstream: u, Sent: sent,
+		Silent: ended || errors.Is(err, context.DeadlineExceeded),
+	})
 }
 
-// reportUnanswered tells the CrashTracker of a send that failed before the headers
-// of the answer arrived, unless the deadline passed or the caller disconnected.
-func (x *exchange) reportUnanswered(upstream string, sent time.Time, err error) {
-	if x.ctxDone() || x.callerGone() {
-		return
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	if errors.Is(err, link.ErrNotSent) {
-		x.config.CrashTracker.ReportUnreachable(upstream)
-		return
+	return b
+}
+
+// reportUnanswered tells the CrashTracker of a send that failed before the headers
+// of the answer arrived.
+func (x *exchange) reportUnanswered(u roster.Upstream, sent time.Time, err error) {
+	switch {
+	case !errors.Is(err, link.ErrNotSent):
+		x.reportBroken(u, sent, err)
+	case !x.ctxDone() && !x.callerGone():
+		x.config.CrashTracker.ReportUnreachable(u.ID)
 	}
-	x.reportBroken(upstream, sent)
 }
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -104,7 +104,7 @@
 	sent := time.Now()
 	e, err := x.config.Pool.Do(ctx, u.Address, request)
 	if err != nil {
-		x.reportUnanswered(u.ID, sent, err)
+		x.reportUnanswered(u, sent, err)
 		return result{outcome: health.Failed, reason: err.Error(), notRun: errors.Is(err, link.ErrNotSent), status: http.StatusBadGateway}
 	}
 	reply := platform.ParseResponse(e.Response.StatusCode, e.Response.Header)
@@ -116,7 +116,7 @@
 	e.Close(time.Now(), err == nil)
 	switch {
 	case err != nil:
-		x.reportBroken(u.ID, sent)
+		x.reportBroken(u, sent, err)
 		return result{outcome: health.Failed, reason: "answer broke off", status: http.StatusBadGateway}
 	case reply.NotExecuted:
 		return result{outcome: health.Refused, reason: "upstream did not run it", notRun: true, status: http.StatusServiceUnavailable}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -157,6 +157,7 @@
 	mayHaveRun  bool              // an upstream may have run the request
 	headersSent bool              // status and headers were written to the caller
 	lastID      string            // id of the last event written to the caller
+	heardAt     time.Time         // when the last event arrived from an upstream
 	print       crash.Fingerprint // 0 before the first call of fingerprint
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -144,7 +144,7 @@
 // handleUnanswered handles a send that failed before the headers of the answer
 // arrived. It reports whether to try another engine.
 func (x *exchange) handleUnanswered(slot *Slot, sent time.Time, err error) bool {
-	x.reportUnanswered(slot.Upstream.ID, sent, err)
+	x.reportUnanswered(slot.Upstream, sent, err)
 	x.config.Logger.Info("relay: engine did not answer", zap.String("request", x.call.ID),
 		zap.String("upstream", slot.Upstream.ID), zap.Error(err))
 	if x.callerGone() {
@@ -225,11 +225,12 @@
 		}
 		if err != nil {
 			e.Close(time.Now(), false)
-			x.reportBroken(slot.Upstream.ID, sent)
+			x.reportBroken(slot.Upstream, sent, err)
 			return x.handleBroken(slot, "stream broke off")
 		}
+		x.heardAt = time.Now()
 		if !gotEvent {
-			slot.FirstEvent(time.Since(sent))
+			slot.FirstEvent(x.heardAt.Sub(sent))
 		}
 		if !x.headersSent {
 			x.headersSent = true
@@ -265,7 +266,7 @@
 	body, err := io.ReadAll(io.LimitReader(e.Response.Body, maxAnswerBytes))
 	e.Close(time.Now(), err == nil)
 	if err != nil {
-		x.reportBroken(slot.Upstream.ID, sent)
+		x.reportBroken(slot.Upstream, sent, err)
 		return x.handleBroken(slot, "answer broke off")
 	}
 	if e.Response.StatusCode >= http.StatusInternalServerError {
