fix(edge): keep the count of crashes under a request in the store

Seen: while VMs were restarted one after the other, a request that crashes upstreams reached 12 to 18 of them in 14 s, 6 to 11 of them late. A VM sent what the others refused.

Cause: counts and verdicts lived in the memory of the VMs that were alive at that moment. Two VMs counted, each by itself; when both had been replaced the count began anew. A verdict was told once, by a datagram to the VMs known then; one that started a moment later never learned of it.

Fix: the VMs that count write the runs of a request with two crashes or more to the fleet topic, which all VMs follow and a new one lists; a peer's state has them too, for a start in an outage. A block follows from the runs alone, so whoever has them blocks. What is written is dropped after a complete run or when it is old. The first crash stays in memory: ordinary crashes cost no call.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -73,10 +73,11 @@
 func (leave) event()          {}
 
 // Key prefixes in the fleet topic: keyVM for records of VMs' addresses,
-// keyClaim for claims on engines.
+// keyClaim for claims on engines, keyCrash for crashes under requests.
 const (
 	keyVM    = "vm/"
 	keyClaim = "own/"
+	keyCrash = "crash/"
 )
 
 // Intervals and timeouts of the control loop.
@@ -215,6 +216,9 @@
 }
 
 func (c *control) handle(ctx context.Context, now time.Time, e event) {
+	if c.handlePoison(ctx, now, e) {
+		return
+	}
 	switch e := e.(type) {
 	case topicListing:
 		c.applyListing(now, e)
@@ -234,18 +238,6 @@
 	case reportDone:
 		c.reportDone(ctx, now, e)
 		return
-	case requestBroken:
-		c.noteBroken(ctx, now, e)
-		return
-	case upstreamChecked:
-		delete(c.poison.probing, e.upstream)
-		return
-	case unreachable:
-		c.noteCrash(now, e.upstream, learnedByDial)
-		return
-	case requestCompleted:
-		c.noteCompleted(e.fingerprint)
-		return
 	case claimDone:
 		c.claiming = false
 		if e.err != nil {
@@ -255,7 +247,7 @@
 		c.feeds[platform.FleetTopic].refresh()
 		return
 	case stateRequest:
-		c.replyState(e.reply)
+		c.replyState(now, e.reply)
 		return
 	case stateReceived:
 		c.applyState(now, e.state)
@@ -387,6 +379,7 @@
 	}
 	c.gossip.PruneDead(now, deadRetention)
 	c.poison.expire(now)
+	c.reviewCrashes(ctx, now)
 	if len(changed) > 0 || c.roster.HasMissing() {
 		c.reconcile(now)
 	}
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync/atomic"
@@ -108,13 +109,17 @@
 
 // poison holds what a VM knows of poison requests. Rendezvous hashing assigns
 // each request to tallyVMs VMs, which count the crashes of upstreams under the
-// request for the whole fleet. When the count reaches blockThreshold, they tell all
-// VMs to block the request.
+// request for the whole fleet. They keep the count in the store, where all VMs read it,
+// also those that start later. When the count reaches blockThreshold, they also tell
+// the other VMs at once.
 type poison struct {
-	tracker *crash.Tracker
-	pending map[string][]suspect // suspects by upstream, until the upstream is known to have crashed
-	runs    int64                // number of suspects so far
-	probing map[string]bool      // upstreams that are being checked
+	tracker  *crash.Tracker
+	pending  map[string][]suspect      // suspects by upstream, until the upstream is known to have crashed
+	runs     int64                     // number of suspects so far
+	probing  map[string]bool           // upstreams that are being checked
+	saved    map[crash.Fingerprint]int // number of runs in the store's record of each request
+	saving   bool                      // a write to the store is in progress
+	reviewAt time.Time                 // time of the next check of what is to be saved
 	// watched has the requests under which upstreams have crashed or may have, and the
 	// ends of the times for which they are blocked. The request path reads it.
 	watched atomic.Pointer[map[crash.Fingerprint]time.Time]
@@ -132,7 +137,7 @@
 		tracker: crash.NewTracker(crash.TrackerConfig{
 			Crashes: blockThreshold, Block: blockTime, MaxBlock: maxBlockTime, TTL: crashTTL, MaxRequests: maxFingerprints,
 		}),
-		pending: map[string][]suspect{}, probing: map[string]bool{},
+		pending: map[string][]suspect{}, probing: map[string]bool{}, saved: map[crash.Fingerprint]int{},
 	}
 	p.publish()
 	return p
@@ -171,6 +176,26 @@
 	}
 }
 
+// handlePoison handles the events about poison requests. It returns false for any other
+// event.
+func (c *control) handlePoison(ctx context.Context, now time.Time, e event) bool {
+	switch e := e.(type) {
+	case requestBroken:
+		c.noteBroken(ctx, now, e)
+	case upstreamChecked:
+		delete(c.poison.probing, e.upstream)
+	case unreachable:
+		c.noteCrash(now, e.upstream, learnedByDial)
+	case crashesSaved:
+		c.noteSaved(e)
+	case requestCompleted:
+		c.noteCompleted(e.fingerprint)
+	default:
+		return false
+	}
+	return true
+}
+
 // crashProbe checks whether an upstream still accepts connections.
 type crashProbe struct {
 	check    func(context.Context, netip.AddrPort) error
@@ -239,6 +264,9 @@
 			reports[name] = append(reports[name], newCrashRun(now, s.fingerprint, s.run))
 		}
 	}
+	if _, ok := reports[c.self.Name]; !ok {
+		c.recordCrashes(now, slices.Concat(slices.Collect(maps.Values(reports))...))
+	}
 	for name, runs := range reports {
 		for part := range slices.Chunk(runs, packetRuns) {
 			if name == c.self.Name {
@@ -253,6 +281,7 @@
 // countCrashes counts crashes against the requests that ran meanwhile, and tells all
 // VMs to block those that reach blockThreshold.
 func (c *control) countCrashes(now time.Time, runs []crashRun) {
+	c.poison.reviewAt = time.Time{} // saves the new count with the next tick
 	for _, f := range c.recordCrashes(now, runs) {
 		notice := &blockNotice{}
 		for _, r := range c.poison.tracker.Runs(f) {
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -15,6 +15,7 @@
 	"github.com/tanagerlb/tanagerlb/pkg/crash"
 	"github.com/tanagerlb/tanagerlb/pkg/gossip"
 	"github.com/tanagerlb/tanagerlb/pkg/roster"
+	"github.com/tanagerlb/tanagerlb/platform"
 )
 
 // loneVM returns the control state of a VM that knows no others.
@@ -22,6 +23,7 @@
 	self := gossip.VM{Name: "a"}
 	return &control{
 		logger: zap.NewNop(), metrics: metric.New(), self: self, poison: newPoison(), gossip: gossip.New(gossip.Config{}, self),
+		newest: map[platform.Topic]map[string]platform.Record{},
 		events: make(chan event, 100), check: func(context.Context, netip.AddrPort) error { return nil },
 	}
 }
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -168,6 +168,10 @@
 		c.gossip.Apply(now, gossip.Update{VM: vm})
 		return
 	}
+	if text, ok := strings.CutPrefix(r.Key, keyCrash); ok {
+		c.applyCrashRecord(now, text, r.Value)
+		return
+	}
 	var claim fence.Claim
 	if err := json.Unmarshal(r.Value, &claim); err != nil || claim.Engine == "" {
 		c.logger.Warn("fleet: record is ignored", zap.String("key", r.Key), zap.Error(err))
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -23,9 +23,11 @@
 // upstreams.
 const maxStateBytes = 16 << 20
 
-// state is the newest record of each key that a VM has read from the store.
+// state is the newest record of each key that a VM has read from the store, and what
+// it knows of poison requests.
 type state struct {
-	Topics map[platform.Topic][]platform.Record `msgpack:"t"`
+	Topics  map[platform.Topic][]platform.Record `msgpack:"t"`
+	Crashes []crashRun                           `msgpack:"x,omitempty"` // crashes under requests, which the store may not have yet
 }
 
 // stateRequest asks the control loop for its state.
@@ -51,13 +53,18 @@
 }
 
 // replyState replies with the state of this VM.
-func (c *control) replyState(reply chan<- state) {
+func (c *control) replyState(now time.Time, reply chan<- state) {
 	s := state{Topics: map[platform.Topic][]platform.Record{}}
 	for topic, records := range c.newest {
 		for _, r := range records {
 			s.Topics[topic] = append(s.Topics[topic], r)
 		}
 	}
+	for _, f := range c.poison.tracker.Repeated(1) {
+		for _, r := range c.poison.tracker.Runs(f) {
+			s.Crashes = append(s.Crashes, newCrashRun(now, f, r))
+		}
+	}
 	reply <- s
 }
 
@@ -70,6 +77,7 @@
 	for topic, records := range s.Topics {
 		c.applyRecords(now, topic, records, true, true)
 	}
+	c.recordCrashes(now, s.Crashes)
 	c.logger.Info("peer: applied the state of a peer", zap.Int("topics", len(s.Topics)))
 }
 
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -9,6 +9,7 @@
 package crash
 
 import (
+	"fmt"
 	"strconv"
 	"time"
 
@@ -28,6 +29,15 @@
 // String returns the fingerprint in hexadecimal, as it stands in logs.
 func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
 
+// ParseFingerprint parses the text that Fingerprint.String returns.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	f, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		return 0, fmt.Errorf("parse fingerprint: %w", err)
+	}
+	return Fingerprint(f), nil
+}
+
 // Texts returns the fingerprints as they stand in logs.
 func Texts(list []Fingerprint) []string {
 	texts := make([]string, len(list))
--- a/pkg/crash/tracker.go
+++ b/pkg/crash/tracker.go
@@ -82,6 +82,18 @@
 // crash.
 func (t *Tracker) Runs(f Fingerprint) []Run { return t.runs[f] }
 
+// Repeated returns the requests under which at least the given number of upstreams
+// have crashed, in no particular order.
+func (t *Tracker) Repeated(crashes int) []Fingerprint {
+	var list []Fingerprint
+	for f, runs := range t.runs {
+		if len(runs) >= crashes {
+			list = append(list, f)
+		}
+	}
+	return list
+}
+
 // BlockedUntil returns the end of the time for which a request is blocked. It is the
 // zero time if too few upstreams have crashed.
 func (t *Tracker) BlockedUntil(f Fingerprint) time.Time {
