fix(relay): ask before each send whether a request is blocked

One that waited for a slot, or was sent again after its upstream had crashed, was sent although it had been blocked meanwhile. And when the time of a block was over, all repeats that came before the next crash was known were sent at once.

Fix: the check stands before each send. After a block, one run is tried in ten seconds on each VM; if it ends well the request is no longer held to be the cause.

TestBlockedRequestIsTriedOnceAtATime is new.

--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +30,8 @@
 	maxBlockTime = 15 * time.Minute
 	// crashTTL is how long the crashes of a request are remembered after the last one.
 	crashTTL = 2 * maxBlockTime
+	// trialTime is the least time between two runs of a request that was blocked.
+	trialTime = 10 * time.Second
 	// detectionTime is the longest time from a broken connection to the detection of
 	// the upstream's crash: three heartbeats and the lag of the store.
 	detectionTime = 8 * time.Second
@@ -119,7 +122,8 @@
 	probing  map[string]bool           // upstreams that are being checked
 	saved    map[crash.Fingerprint]int // number of runs in the store's record of each request
 	saving   bool                      // a write to the store is in progress
-	reviewAt time.Time                 // time of the next check of what is to be saved
+	trials   trials
+	reviewAt time.Time // time of the next check of what is to be saved
 	// watched has the requests under which upstreams have crashed or may have, and the
 	// ends of the times for which they are blocked. The request path reads it.
 	watched atomic.Pointer[map[crash.Fingerprint]time.Time]
@@ -138,6 +142,7 @@
 			Crashes: blockThreshold, Block: blockTime, MaxBlock: maxBlockTime, TTL: crashTTL, MaxRequests: maxFingerprints,
 		}),
 		pending: map[string][]suspect{}, probing: map[string]bool{}, saved: map[crash.Fingerprint]int{},
+		trials: trials{begun: map[crash.Fingerprint]time.Time{}},
 	}
 	p.publish()
 	return p
@@ -345,11 +350,48 @@
 // requests.
 type crashTracker struct{ control *control }
 
+// Admit implements relay.CrashTracker.
+func (t crashTracker) Admit(now time.Time, f crash.Fingerprint) time.Duration {
+	until := (*t.control.poison.watched.Load())[f]
+	switch {
+	case until.IsZero(): // too few crashes
+		return 0
+	case now.Before(until):
+		return until.Sub(now)
+	default:
+		return t.control.poison.trials.begin(now, f)
+	}
+}
+
 // BlockedFor implements relay.CrashTracker.
 func (t crashTracker) BlockedFor(now time.Time, f crash.Fingerprint) time.Duration {
 	return max((*t.control.poison.watched.Load())[f].Sub(now), 0)
 }
 
+// trials holds the runs of requests that were blocked until a moment ago. A run that
+// ends well lifts the suspicion; another crash blocks the request again.
+type trials struct {
+	mu    sync.Mutex
+	begun map[crash.Fingerprint]time.Time
+}
+
+// begin returns 0 if a request may be tried, and otherwise the time left until its last
+// trial is over.
+func (t *trials) begin(now time.Time, f crash.Fingerprint) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for old, begun := range t.begun {
+		if now.Sub(begun) >= trialTime {
+			delete(t.begun, old)
+		}
+	}
+	if begun, ok := t.begun[f]; ok {
+		return begun.Add(trialTime).Sub(now)
+	}
+	t.begun[f] = now
+	return 0
+}
+
 // ReportBroken implements relay.CrashTracker.
 func (t crashTracker) ReportBroken(r relay.BrokenRun) { t.control.post(requestBroken{r}) }
 
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -151,6 +151,29 @@
 	is.Equal(c.remaining(start.Add(3*time.Second), 7), time.Duration(0))
 }
 
+// When the time for which a request was blocked is over, all its repeats came at once.
+func TestBlockedRequestIsTriedOnceAtATime(t *testing.T) {
+	is := is.New(t)
+	c := loneVM()
+	for i := range 3 {
+		at := start.Add(time.Duration(i) * time.Second)
+		c.noteBroken(t.Context(), at, brokenRun(7, "e1", at))
+		c.noteCrash(at, "e1", learnedByDial)
+	}
+	tracker := crashTracker{c}
+	is.Equal(tracker.Admit(start, 8), time.Duration(0))
+	is.True(tracker.Admit(start.Add(3*time.Second), 7) > trialTime)
+	over := start.Add(2*time.Second + blockTime)
+	is.Equal(tracker.Admit(over, 7), time.Duration(0))
+	is.Equal(tracker.Admit(over, 7), trialTime)
+	is.Equal(tracker.BlockedFor(over, 7), time.Duration(0)) // the trial itself may be sent
+	is.Equal(tracker.Admit(over.Add(trialTime), 7), time.Duration(0))
+	c.noteCompleted(7)
+	for range 3 {
+		is.Equal(tracker.Admit(over.Add(trialTime), 7), time.Duration(0))
+	}
+}
+
 // After the time for which it was blocked, a request that crashes one more upstream is
 // blocked again at once, for longer.
 func TestBlockIsLongerAfterEachCrash(t *testing.T) {
--- a/internal/relay/crash_tracker.go
+++ b/internal/relay/crash_tracker.go
@@ -16,8 +16,12 @@
 // CrashTracker tracks poison requests, which crash the upstreams that run them, and
 // tells which requests are blocked.
 type CrashTracker interface {
-	// BlockedFor returns how long after now the request with fingerprint f stays
-	// blocked, or 0 if the request may run.
+	// Admit returns 0 if a request with fingerprint f that has just arrived may run,
+	// and otherwise after what time it may be tried again. When the time for which it
+	// was blocked is over, one run at a time is admitted.
+	Admit(now time.Time, f crash.Fingerprint) time.Duration
+	// BlockedFor returns how long after now an admitted request with fingerprint f
+	// stays blocked, or 0 if the request may run.
 	BlockedFor(now time.Time, f crash.Fingerprint) time.Duration
 	// ReportBroken reports a run that ended without a complete answer; the upstream
 	// may have crashed.
@@ -67,10 +71,19 @@
 	return x.print
 }
 
-// refuseBlocked refuses the request if it is blocked because it crashed too many
-// upstreams. It reports whether the request was refused.
+// refuseArrived refuses the request, which has just arrived, if it is blocked because it
+// crashed too many upstreams. It reports whether the request was refused.
+func (x *exchange) refuseArrived() bool {
+	return x.refuseFor(x.config.CrashTracker.Admit(time.Now(), x.fingerprint()))
+}
+
+// refuseBlocked does the same for a request that is about to be sent: it may have been
+// blocked while it waited, or because of its last send.
 func (x *exchange) refuseBlocked() bool {
-	remaining := x.config.CrashTracker.BlockedFor(time.Now(), x.fingerprint())
+	return x.refuseFor(x.config.CrashTracker.BlockedFor(time.Now(), x.fingerprint()))
+}
+
+func (x *exchange) refuseFor(remaining time.Duration) bool {
 	if remaining > 0 {
 		x.refuse(reasonPoison, remaining)
 	}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -47,6 +47,9 @@
 func (x *exchange) forward() {
 	tried := map[string]bool{}
 	for {
+		if x.sends > 0 && x.refuseBlocked() {
+			return
+		}
 		u, ok := x.pickUpstream(tried)
 		if !ok {
 			x.refuse("no upstream", retryAfter)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -190,7 +190,7 @@
 		x.refuse("service is not configured", retryAfter)
 		return
 	}
-	if !x.readBody() || x.refuseBlocked() {
+	if !x.readBody() || x.refuseArrived() {
 		return
 	}
 	x.serve()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -47,6 +47,10 @@
 			x.refuse(string(reservation.Refusal.Reason), reservation.Refusal.Wait)
 			return
 		}
+		if x.refuseBlocked() {
+			slot.Release(engine.Done)
+			return
+		}
 		retry := x.attempt(slot)
 		if !retry {
 			return
