fix(relay): a silent upstream that others still hear is no suspect

A request that ended by its caller or its deadline after half a second of silence was held to be a suspect, also where the upstream was only busy and answered others; and the crash of an upstream that fell silent was learned of from the store alone, which sees nothing if the upstream is back under its id within three heartbeats.

Fix: the handler keeps when each upstream was last heard, for any request. A run that its upstream did not end counts only if nothing came from there since. Such an upstream is checked at once, too, as that is now rare.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -217,7 +217,7 @@
 		case now := <-ticker.C:
 			v.pool.CloseExpired(now)
 			v.sweep(now)
-			v.handler.Decay()
+			v.handler.Decay(now)
 		}
 	}
 }
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -54,7 +54,7 @@
 	learnedFromMissingEntry = "entry is gone"
 )
 
-// probeDelay is the time from a broken connection to the check whether its upstream
+// probeDelay is the time from the end of a broken run to the check whether its upstream
 // still accepts connections: a process that ends closes them one after the other.
 const probeDelay = 50 * time.Millisecond
 
@@ -218,11 +218,11 @@
 }
 
 // noteBroken stores a request that broke off, in case its upstream turns out to have
-// crashed. If the upstream closed the connection, it is checked at once: this VM may
-// have no other request for it, and the store drops its entry only after seconds.
+// crashed. The upstream is checked at once: this VM may have no other request for it,
+// and the store drops its entry only after seconds.
 func (c *control) noteBroken(ctx context.Context, now time.Time, e requestBroken) {
 	id := e.Upstream.ID
-	if !e.Silent && !c.poison.probing[id] {
+	if !c.poison.probing[id] {
 		c.poison.probing[id] = true
 		go (&crashProbe{check: c.check, post: c.post, upstream: e.Upstream}).run(ctx)
 	}
--- a/internal/relay/crash_tracker.go
+++ b/internal/relay/crash_tracker.go
@@ -42,8 +42,8 @@
 	Silent      bool      // the upstream left the connection open and sent nothing
 }
 
-// quietTime is how long an upstream has to be silent before the end of a request by
-// its deadline or its caller for the upstream to count as one that may have crashed.
+// quietTime is how long an upstream has to be silent before a request ends by its
+// deadline or its caller for the upstream to count as one that may have crashed.
 const quietTime = 500 * time.Millisecond
 
 // reasonPoison is the reason with which a blocked request is refused.
@@ -90,33 +90,26 @@
 	return remaining > 0
 }
 
-// reportBroken tells the CrashTracker that the request, which was sent to an upstream
-// at the given time, ended without a complete answer because of err.
-func (x *exchange) reportBroken(u roster.Upstream, sent time.Time, err error) {
+// reportBroken tells the CrashTracker that a run ended without a complete answer because
+// of err. If the upstream did not end it, that counts only if the upstream is silent.
+func (x *exchange) reportBroken(r *sentRun, err error) {
 	ended := x.ctxDone() || x.callerGone()
-	if ended && time.Since(later(sent, x.heardAt)) < quietTime {
+	silent := ended || errors.Is(err, context.DeadlineExceeded)
+	if (silent && !r.silent()) || (ended && time.Since(r.heard) < quietTime) {
 		return
 	}
 	x.config.CrashTracker.ReportBroken(BrokenRun{
-		Request: x.call.ID, Fingerprint: x.fingerprint(), Upstream: u, Sent: sent,
-		Silent: ended || errors.Is(err, context.DeadlineExceeded),
+		Request: x.call.ID, Fingerprint: x.fingerprint(), Upstream: r.upstream, Sent: r.sent, Silent: silent,
 	})
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // reportUnanswered tells the CrashTracker of a send that failed before the headers
 // of the answer arrived.
-func (x *exchange) reportUnanswered(u roster.Upstream, sent time.Time, err error) {
+func (x *exchange) reportUnanswered(r *sentRun, err error) {
 	switch {
 	case !errors.Is(err, link.ErrNotSent):
-		x.reportBroken(u, sent, err)
+		x.reportBroken(r, err)
 	case !x.ctxDone() && !x.callerGone():
-		x.config.CrashTracker.ReportUnreachable(u.ID)
+		x.config.CrashTracker.ReportUnreachable(r.upstream.ID)
 	}
 }
--- /dev/null
+++ b/internal/relay/lifesigns.go
@@ -0,0 +1,73 @@
+package relay
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tanagerlb/tanagerlb/pkg/roster"
+)
+
+// lifeSigns holds when something last arrived from each upstream, for any request.
+type lifeSigns struct {
+	mu sync.Mutex
+	at map[string]*lifeSign
+}
+
+// lifeSign is the time of the last arrival from one upstream, in Unix nanoseconds.
+type lifeSign struct{ atomic.Int64 }
+
+func (s *lifeSign) note(now time.Time) { s.Store(now.UnixNano()) }
+
+// after reports whether anything has arrived after a time.
+func (s *lifeSign) after(t time.Time) bool { return s.Load() > t.UnixNano() }
+
+// sentRun is a run of the request on an upstream.
+type sentRun struct {
+	upstream roster.Upstream
+	sent     time.Time // when the request was sent
+	heard    time.Time // when something last arrived for this run; at first, when it was sent
+	sign     *lifeSign
+}
+
+// beginRun is called when the request is sent to an upstream.
+func (x *exchange) beginRun(now time.Time, u roster.Upstream) *sentRun {
+	return &sentRun{upstream: u, sent: now, heard: now, sign: x.lifeSigns.of(now, u.ID)}
+}
+
+// note records that something arrived for the run.
+func (r *sentRun) note(now time.Time) {
+	r.heard = now
+	r.sign.note(now)
+}
+
+// silent reports whether the upstream has sent nothing for a while, neither for this run
+// nor for others.
+func (r *sentRun) silent() bool { return !r.sign.after(r.heard) }
+
+// lifeSignTTL is how long an upstream that sends nothing is remembered.
+const lifeSignTTL = time.Minute
+
+// of returns the life sign of an upstream.
+func (l *lifeSigns) of(now time.Time, upstream string) *lifeSign {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, ok := l.at[upstream]
+	if !ok {
+		s = &lifeSign{}
+		s.note(now)
+		l.at[upstream] = s
+	}
+	return s
+}
+
+// expire forgets upstreams that have sent nothing for long.
+func (l *lifeSigns) expire(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for upstream, s := range l.at {
+		if !s.after(now.Add(-lifeSignTTL)) {
+			delete(l.at, upstream)
+		}
+	}
+}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -104,12 +104,13 @@
 		defer cancel()
 	}
 	request := x.outbound(platform.ForwardOptions{Upstream: u.ID, Timeout: time.Until(x.deadline)})
-	sent := time.Now()
+	run := x.beginRun(time.Now(), u)
 	e, err := x.config.Pool.Do(ctx, u.Address, request)
 	if err != nil {
-		x.reportUnanswered(u, sent, err)
+		x.reportUnanswered(run, err)
 		return result{outcome: health.Failed, reason: err.Error(), notRun: errors.Is(err, link.ErrNotSent), status: http.StatusBadGateway}
 	}
+	run.note(time.Now())
 	reply := platform.ParseResponse(e.Response.StatusCode, e.Response.Header)
 	if reply.ID != "" && reply.ID != x.call.ID {
 		e.Close(time.Now(), false)
@@ -119,7 +120,7 @@
 	e.Close(time.Now(), err == nil)
 	switch {
 	case err != nil:
-		x.reportBroken(u, sent, err)
+		x.reportBroken(run, err)
 		return result{outcome: health.Failed, reason: "answer broke off", status: http.StatusBadGateway}
 	case reply.NotExecuted:
 		return result{outcome: health.Refused, reason: "upstream did not run it", notRun: true, status: http.StatusServiceUnavailable}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -96,17 +96,18 @@
 // Handler is the HTTP handler for callers' requests. It keeps the health of the
 // upstreams and the retry budgets of the services.
 type Handler struct {
-	config   Config
-	draining atomic.Bool
-	active   atomic.Int64
-	mu       sync.Mutex
-	tracker  *health.Tracker
-	budget   *retry.Budget
+	config    Config
+	draining  atomic.Bool
+	active    atomic.Int64
+	mu        sync.Mutex
+	tracker   *health.Tracker
+	budget    *retry.Budget
+	lifeSigns lifeSigns
 }
 
 // New returns a handler that has not yet recorded the results of any upstream.
 func New(c Config) *Handler {
-	return &Handler{config: c, tracker: health.New(c.Health), budget: retry.New(c.Retries)}
+	return &Handler{config: c, tracker: health.New(c.Health), budget: retry.New(c.Retries), lifeSigns: lifeSigns{at: map[string]*lifeSign{}}}
 }
 
 // StartDrain makes the handler close the caller's connection after each further
@@ -118,7 +119,8 @@
 
 // Decay reduces the weight of old results in the health of upstreams. It must be
 // called once a second.
-func (h *Handler) Decay() {
+func (h *Handler) Decay(now time.Time) {
+	h.lifeSigns.expire(now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.tracker.Decay()
@@ -157,7 +159,6 @@
 	mayHaveRun  bool              // an upstream may have run the request
 	headersSent bool              // status and headers were written to the caller
 	lastID      string            // id of the last event written to the caller
-	heardAt     time.Time         // when the last event arrived from an upstream
 	print       crash.Fingerprint // 0 before the first call of fingerprint
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -99,15 +99,16 @@
 // answer. It reports whether to try another engine.
 func (x *exchange) attempt(slot *Slot) bool {
 	x.sends++
-	sent := time.Now()
+	run := x.beginRun(time.Now(), slot.Upstream)
 	send := platform.ForwardOptions{
 		Upstream: slot.Upstream.ID, Timeout: time.Until(x.deadline), Version: slot.AdapterVersion, LastEventID: x.lastID,
 	}
 	request := x.outbound(send)
 	e, err := x.config.Pool.Do(x.ctx, slot.Upstream.Address, request)
 	if err != nil {
-		return x.handleUnanswered(slot, sent, err)
+		return x.handleUnanswered(slot, run, err)
 	}
+	run.note(time.Now())
 	reply := platform.ParseResponse(e.Response.StatusCode, e.Response.Header)
 	switch {
 	case reply.ID != "" && reply.ID != x.call.ID:
@@ -123,7 +124,7 @@
 		e.Close(time.Now(), false)
 		return x.handleBroken(slot, "answer bears no signature")
 	}
-	return x.streamEvents(slot, e, sent)
+	return x.streamEvents(slot, e, run)
 }
 
 // retryElsewhere handles an engine's error answer (5xx). If the request may be
@@ -147,8 +148,8 @@
 
 // handleUnanswered handles a send that failed before the headers of the answer
 // arrived. It reports whether to try another engine.
-func (x *exchange) handleUnanswered(slot *Slot, sent time.Time, err error) bool {
-	x.reportUnanswered(slot.Upstream, sent, err)
+func (x *exchange) handleUnanswered(slot *Slot, run *sentRun, err error) bool {
+	x.reportUnanswered(run, err)
 	x.config.Logger.Info("relay: engine did not answer", zap.String("request", x.call.ID),
 		zap.String("upstream", slot.Upstream.ID), zap.Error(err))
 	if x.callerGone() {
@@ -213,11 +214,11 @@
 
 // streamEvents writes the events of an answer to the caller as they arrive. It
 // reports whether to try another engine.
-func (x *exchange) streamEvents(slot *Slot, e *link.Exchange, sent time.Time) bool {
+func (x *exchange) streamEvents(slot *Slot, e *link.Exchange, run *sentRun) bool {
 	x.mayHaveRun = true
 	response := e.Response
 	if response.StatusCode != http.StatusOK {
-		return x.sendComplete(slot, e, sent)
+		return x.sendComplete(slot, e, run)
 	}
 	events := bufio.NewReader(response.Body)
 	control := http.NewResponseController(x.w)
@@ -229,12 +230,12 @@
 		}
 		if err != nil {
 			e.Close(time.Now(), false)
-			x.reportBroken(slot.Upstream, sent, err)
+			x.reportBroken(run, err)
 			return x.handleBroken(slot, "stream broke off")
 		}
-		x.heardAt = time.Now()
+		run.note(time.Now())
 		if !gotEvent {
-			slot.FirstEvent(x.heardAt.Sub(sent))
+			slot.FirstEvent(run.heard.Sub(run.sent))
 		}
 		if !x.headersSent {
 			x.headersSent = true
@@ -266,11 +267,11 @@
 
 // sendComplete reads an answer with a status other than 200, which is not an event
 // stream, and writes it to the caller. It reports whether to try another engine.
-func (x *exchange) sendComplete(slot *Slot, e *link.Exchange, sent time.Time) bool {
+func (x *exchange) sendComplete(slot *Slot, e *link.Exchange, run *sentRun) bool {
 	body, err := io.ReadAll(io.LimitReader(e.Response.Body, maxAnswerBytes))
 	e.Close(time.Now(), err == nil)
 	if err != nil {
-		x.reportBroken(slot.Upstream, sent, err)
+		x.reportBroken(run, err)
 		return x.handleBroken(slot, "answer broke off")
 	}
 	if e.Response.StatusCode >= http.StatusInternalServerError {
