fix(edge): hold a crash against requests that break off after it is known

Cause: a crash was held against the requests that had broken off before it was learned of, then forgotten. A connection to an upstream that fell silent ends when its caller leaves or the upstream is back, often after its entry is gone.

Fix: a crash is remembered for as long as requests may still wait there, and held against a run that was sent before it. An upstream that drains and then goes has not crashed.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -276,9 +276,11 @@
 // reconcile brings the held engines and the published state in line with the
 // current claims, upstreams and membership.
 func (c *control) reconcile(now time.Time) {
-	for _, id := range c.roster.Expire(now) {
-		c.logger.Info("upstream: gone", zap.String("upstream", id))
-		c.noteCrash(now, id, learnedFromMissingEntry)
+	for _, u := range c.roster.Expire(now) {
+		c.logger.Info("upstream: gone", zap.String("upstream", u.ID))
+		if !u.Draining { // one that drains leaves as planned
+			c.noteCrash(now, u.ID, now, learnedFromMissingEntry)
+		}
 	}
 	for id, h := range c.held {
 		claim, ok := c.fence.Get(id)
--- a/internal/edge/crash_records_test.go
+++ b/internal/edge/crash_records_test.go
@@ -35,7 +35,7 @@
 // crash lets an upstream crash under a request.
 func (c *control) crash(t *testing.T, at time.Time, upstream string) {
 	c.noteBroken(t.Context(), at, brokenRun(7, upstream, at.Add(-time.Millisecond)))
-	c.noteCrash(at, upstream, learnedByDial)
+	c.noteCrash(at, upstream, at, learnedByDial)
 	<-c.events // the check of the upstream has ended
 	delete(c.poison.probing, upstream)
 }
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -36,6 +36,9 @@
 	// detectionTime is the longest time from a broken connection to the detection of
 	// the upstream's crash: three heartbeats and the lag of the store.
 	detectionTime = 8 * time.Second
+	// longestRun is the longest time for which a request may still wait for an upstream
+	// that has crashed.
+	longestRun = time.Minute
 	// maxFingerprints bounds the number of requests whose crashes are remembered, and
 	// the number of suspects of each upstream.
 	maxFingerprints = 10_000
@@ -52,6 +55,7 @@
 	learnedByDial           = "dial failed"
 	learnedFromRestart      = "entry shows a restart"
 	learnedFromMissingEntry = "entry is gone"
+	learnedBefore           = "before the request broke off"
 )
 
 // probeDelay is the time from the end of a broken run to the check whether its upstream
@@ -120,6 +124,7 @@
 	tracker  *crash.Tracker
 	pending  map[string][]suspect      // suspects by upstream, until the upstream is known to have crashed
 	runs     int64                     // number of suspects so far
+	crashed  map[string]time.Time      // upstreams that have crashed, and a time before which their last crash was
 	probing  map[string]bool           // upstreams that are being checked
 	saved    map[crash.Fingerprint]int // number of runs in the store's record of each request
 	saving   bool                      // a write to the store is in progress
@@ -142,7 +147,7 @@
 		tracker: crash.NewTracker(crash.TrackerConfig{
 			Crashes: blockThreshold, Block: blockTime, MaxBlock: maxBlockTime, TTL: crashTTL, MaxRequests: maxFingerprints,
 		}),
-		pending: map[string][]suspect{}, probing: map[string]bool{}, saved: map[crash.Fingerprint]int{},
+		pending: map[string][]suspect{}, crashed: map[string]time.Time{}, probing: map[string]bool{}, saved: map[crash.Fingerprint]int{},
 		trials: trials{begun: map[crash.Fingerprint]time.Time{}},
 	}
 	p.publish()
@@ -177,6 +182,11 @@
 
 // expire forgets old crashes.
 func (p *poison) expire(now time.Time) {
+	for upstream, at := range p.crashed {
+		if now.Sub(at) > longestRun {
+			delete(p.crashed, upstream)
+		}
+	}
 	if len(p.tracker.Expire(now)) > 0 || p.stale {
 		p.publish()
 	}
@@ -191,7 +201,7 @@
 	case upstreamChecked:
 		delete(c.poison.probing, e.upstream)
 	case unreachable:
-		c.noteCrash(now, e.upstream, learnedByDial)
+		c.noteCrash(now, e.upstream, now, learnedByDial)
 	case crashesSaved:
 		c.noteSaved(e)
 	case requestCompleted:
@@ -240,21 +250,31 @@
 	c.metrics.Suspected("broke off")
 	c.logger.Info("crash: request broke off", zap.String("request", e.Request), zap.String("upstream", id),
 		zap.Stringer("print", e.Fingerprint), zap.Bool("silent", e.Silent))
+	if e.Sent.Before(c.poison.crashed[id]) {
+		c.reportSuspects(now, id, learnedBefore)
+	}
 }
 
-// noteCrash handles the crash of an upstream. Each request that broke off there
-// shortly before may be the cause, and is reported to the VMs that count its crashes.
-// learned tells how this VM learned of the crash.
-func (c *control) noteCrash(now time.Time, upstream, learned string) {
-	list, ok := c.poison.pending[upstream]
-	if !ok {
-		return
+// noteCrash handles the crash of an upstream, which was before the given time. learned
+// tells how this VM learned of it. Each request that broke off there shortly before may
+// be the cause, and so may those that are still to break off: a connection may stay
+// open for seconds after its upstream is gone.
+func (c *control) noteCrash(now time.Time, upstream string, before time.Time, learned string) {
+	if before.After(c.poison.crashed[upstream]) {
+		c.poison.crashed[upstream] = before
 	}
-	delete(c.poison.pending, upstream)
-	c.poison.stale = true
+	c.reportSuspects(now, upstream, learned)
+}
+
+// reportSuspects reports the requests that broke off at an upstream that has crashed to
+// the VMs that count their crashes.
+func (c *control) reportSuspects(now time.Time, upstream, learned string) {
+	list := c.poison.pending[upstream]
 	if len(list) == 0 {
 		return
 	}
+	delete(c.poison.pending, upstream)
+	c.poison.stale = true
 	c.metrics.CrashLearned(learned)
 	c.logger.Info("crash: upstream crashed", zap.String("upstream", upstream), zap.String("learned", learned),
 		zap.Int("suspects", len(list)), zap.Duration("after", now.Sub(list[0].run.Ended)))
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -13,6 +13,7 @@
 	"github.com/tanagerlb/tanagerlb/internal/metric"
 	"github.com/tanagerlb/tanagerlb/internal/relay"
 	"github.com/tanagerlb/tanagerlb/pkg/crash"
+	"github.com/tanagerlb/tanagerlb/pkg/fence"
 	"github.com/tanagerlb/tanagerlb/pkg/gossip"
 	"github.com/tanagerlb/tanagerlb/pkg/roster"
 	"github.com/tanagerlb/tanagerlb/platform"
@@ -57,8 +58,8 @@
 				is.Equal(vm.remaining(at, 7), time.Duration(0))
 				vm.noteBroken(t.Context(), at, brokenRun(7, id, at.Add(-100*time.Millisecond)))
 				vm.noteBroken(t.Context(), at, brokenRun(8, "works", at)) // its connections break, but it does not crash
-				vm.noteCrash(at.Add(100*time.Millisecond), id, learnedByDial)
-				vm.noteCrash(at.Add(200*time.Millisecond), id, learnedByDial) // the same crash, detected a second time
+				vm.noteCrash(at.Add(100*time.Millisecond), id, at.Add(100*time.Millisecond), learnedByDial)
+				vm.noteCrash(at.Add(200*time.Millisecond), id, at.Add(200*time.Millisecond), learnedByDial) // the same crash, detected a second time
 			}
 			at := start.Add(3 * time.Second)
 			is.True(vm.remaining(at, 7) > 0)
@@ -110,11 +111,46 @@
 	c := loneVM()
 	for _, id := range []string{"e1", "e2", "e3"} {
 		c.noteBroken(t.Context(), start, brokenRun(7, id, start))
-		c.noteCrash(start.Add(2*detectionTime), id, learnedByDial)
+		c.noteCrash(start.Add(2*detectionTime), id, start.Add(2*detectionTime), learnedByDial)
 	}
 	is.Equal(c.remaining(start.Add(2*detectionTime), 7), time.Duration(0))
 }
 
+// The connections to an upstream that fell silent end seconds after its entry is gone.
+// What ran there was not held to be a suspect any more.
+func TestRequestThatBreaksOffAfterTheCrashIsLearnedOf(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		sent    time.Duration // before the crash is learned of
+		counted int
+	}{
+		{"sent before", time.Second, 1},
+		{"sent after, to an upstream that is back", -time.Second, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			vm := loneVM()
+			vm.noteCrash(start, "e1", start, learnedFromMissingEntry)
+			vm.noteBroken(t.Context(), start.Add(3*time.Second), brokenRun(7, "e1", start.Add(-c.sent)))
+			is.Equal(len(vm.poison.tracker.Runs(7)), c.counted)
+		})
+	}
+}
+
+// An upstream that is emptied and taken away breaks off what it still runs.
+func TestUpstreamThatLeavesAsPlannedHasNotCrashed(t *testing.T) {
+	is := is.New(t)
+	for _, draining := range []bool{false, true} {
+		vm := loneVM()
+		vm.roster, vm.fence, vm.dispatcher = roster.New(), fence.New(), &dispatcher{}
+		vm.roster.Apply(roster.Upstream{ID: "e1", Draining: draining})
+		vm.noteBroken(t.Context(), start, brokenRun(7, "e1", start))
+		vm.markMissing(start, "e1", false)
+		vm.reconcile(start)
+		is.Equal(len(vm.poison.tracker.Runs(7)) == 0, draining)
+	}
+}
+
 // A request that happened to run when upstreams crashed must not be blocked if it has
 // run to its end meanwhile.
 func TestRequestThatRunsToItsEndIsNotBlocked(t *testing.T) {
@@ -123,7 +159,7 @@
 	for i := range 5 {
 		at := start.Add(time.Duration(i) * time.Second)
 		c.noteBroken(t.Context(), at, brokenRun(7, "e1", at))
-		c.noteCrash(at, "e1", learnedByDial)
+		c.noteCrash(at, "e1", at, learnedByDial)
 		c.noteCompleted(7)
 		is.Equal(c.remaining(at, 7), time.Duration(0))
 	}
@@ -141,7 +177,7 @@
 	is.True(watched) // the request path reports its complete runs
 	c.noteCompleted(7)
 	for _, id := range []string{"e1", "e2", "e3"} {
-		c.noteCrash(start.Add(3*time.Second), id, learnedFromMissingEntry)
+		c.noteCrash(start.Add(3*time.Second), id, start.Add(3*time.Second), learnedFromMissingEntry)
 	}
 	is.Equal(c.remaining(start.Add(3*time.Second), 7), time.Duration(0))
 }
@@ -153,7 +189,7 @@
 	for i := range 3 {
 		at := start.Add(time.Duration(i) * time.Second)
 		c.noteBroken(t.Context(), at, brokenRun(7, "e1", at))
-		c.noteCrash(at, "e1", learnedByDial)
+		c.noteCrash(at, "e1", at, learnedByDial)
 	}
 	tracker := crashTracker{c}
 	is.Equal(tracker.Admit(start, 8), time.Duration(0))
@@ -177,7 +213,7 @@
 	at := start
 	for _, want := range []time.Duration{0, 0, blockTime, 2 * blockTime, 4 * blockTime} {
 		c.noteBroken(t.Context(), at, brokenRun(7, "e1", at))
-		c.noteCrash(at, "e1", learnedByDial)
+		c.noteCrash(at, "e1", at, learnedByDial)
 		is.Equal(c.remaining(at, 7), want)
 		at = at.Add(max(want, time.Second))
 		c.poison.expire(at)
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -137,7 +137,7 @@
 	c.logger.Info("upstream: "+change.String(), zap.String("upstream", u.ID), zap.String("service", u.Service),
 		zap.Stringer("address", u.Address), zap.Int64("offset", r.Offset), zap.Int64("born", u.StartTime))
 	if change == roster.Restarted {
-		c.noteCrash(now, u.ID, learnedFromRestart)
+		c.noteCrash(now, u.ID, time.UnixMilli(u.StartTime), learnedFromRestart)
 		delete(c.held, u.ID)
 	}
 	return true
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -132,16 +132,16 @@
 }
 
 // Expire drops the upstreams whose entries have been missing for at least their
-// grace time, and returns the ids of these upstreams.
-func (t *Table) Expire(now time.Time) []string {
-	var ids []string
+// grace time, and returns them.
+func (t *Table) Expire(now time.Time) []Upstream {
+	var gone []Upstream
 	for id, s := range t.upstreams {
 		if !s.missingSince.IsZero() && !now.Before(s.expires) {
 			delete(t.upstreams, id)
-			ids = append(ids, id)
+			gone = append(gone, s.Upstream)
 		}
 	}
-	return ids
+	return gone
 }
 
 // Get returns the upstream with the given id, or false if the table has none.
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -55,6 +55,8 @@
 	is.Equal(len(table.Expire(start.Add(time.Minute))), 0)
 
 	is.True(table.MarkMissing(start, "u", 0))
-	is.Equal(table.Expire(start), []string{"u"})
+	gone := table.Expire(start)
+	is.Equal(len(gone), 1)
+	is.Equal(gone[0].ID, "u")
 	is.Equal(len(table.IDs()), 0)
 }
