fix(edge,crash): a request sent during an outage is not its cause

Both plain replicas were out at once, one silent, one accepting and closing connections.

Cause: each run that broke off at one upstream counted as a crash of its own if it did not overlap the one before, also where the upstream had not been back in between. Evidence: api-1 counted at 54:16.565 and again for a request sent at 54:16.586.

Fix: a VM keeps for each upstream when it began to break requests off. What is sent after that, and before the upstream is heard again or had time to restart, is no suspect. Crashes of one upstream that VMs report lie at least half a second apart, or are one.

--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -36,6 +36,9 @@
 	// detectionTime is the longest time from a broken connection to the detection of
 	// the upstream's crash: three heartbeats and the lag of the store.
 	detectionTime = 8 * time.Second
+	// restartTime is the shortest time from a crash of an upstream until it runs requests
+	// again.
+	restartTime = 500 * time.Millisecond
 	// longestRun is the longest time for which a request may still wait for an upstream
 	// that has crashed.
 	longestRun = time.Minute
@@ -124,6 +127,7 @@
 	tracker  *crash.Tracker
 	pending  map[string][]suspect      // suspects by upstream, until the upstream is known to have crashed
 	runs     int64                     // number of suspects so far
+	outages  map[string]*outage        // upstreams that break off requests
 	crashed  map[string]time.Time      // upstreams that have crashed, and a time before which their last crash was
 	probing  map[string]bool           // upstreams that are being checked
 	saved    map[crash.Fingerprint]int // number of runs in the store's record of each request
@@ -136,6 +140,23 @@
 	stale   bool // watched lags behind tracker and pending
 }
 
+// outage is a time in which an upstream breaks off all requests. One that was sent
+// after its begin cannot be its cause.
+type outage struct{ began, last time.Time }
+
+// isCause reports whether a run that breaks off at now may have been the cause. The
+// outage is over when something arrived from the upstream, or when it had time to
+// restart without a broken request.
+func (p *poison) isCause(now time.Time, e requestBroken) bool {
+	o, ok := p.outages[e.Upstream.ID]
+	if !ok || e.Heard.After(o.last) || e.Sent.Sub(o.last) > restartTime {
+		p.outages[e.Upstream.ID] = &outage{began: now, last: now}
+		return true
+	}
+	o.last = now
+	return !e.Sent.After(o.began)
+}
+
 // suspect is a request that may have crashed its upstream.
 type suspect struct {
 	fingerprint crash.Fingerprint
@@ -145,9 +166,9 @@
 func newPoison() *poison {
 	p := &poison{
 		tracker: crash.NewTracker(crash.TrackerConfig{
-			Crashes: blockThreshold, Block: blockTime, MaxBlock: maxBlockTime, TTL: crashTTL, MaxRequests: maxFingerprints,
+			Crashes: blockThreshold, Block: blockTime, MaxBlock: maxBlockTime, TTL: crashTTL, Restart: restartTime, MaxRequests: maxFingerprints,
 		}),
-		pending: map[string][]suspect{}, crashed: map[string]time.Time{}, probing: map[string]bool{}, saved: map[crash.Fingerprint]int{},
+		pending: map[string][]suspect{}, outages: map[string]*outage{}, crashed: map[string]time.Time{}, probing: map[string]bool{}, saved: map[crash.Fingerprint]int{},
 		trials: trials{begun: map[crash.Fingerprint]time.Time{}},
 	}
 	p.publish()
@@ -182,6 +203,11 @@
 
 // expire forgets old crashes.
 func (p *poison) expire(now time.Time) {
+	for upstream, o := range p.outages {
+		if now.Sub(o.last) > longestRun {
+			delete(p.outages, upstream)
+		}
+	}
 	for upstream, at := range p.crashed {
 		if now.Sub(at) > longestRun {
 			delete(p.crashed, upstream)
@@ -236,6 +262,9 @@
 		c.poison.probing[id] = true
 		go (&crashProbe{check: c.check, post: c.post, upstream: e.Upstream}).run(ctx)
 	}
+	if !c.poison.isCause(now, e) {
+		return
+	}
 	list := c.poison.pending[id]
 	for len(list) > 0 && now.Sub(list[0].run.Ended) > detectionTime {
 		list = list[1:]
--- a/internal/relay/crash_tracker.go
+++ b/internal/relay/crash_tracker.go
@@ -39,6 +39,7 @@
 	Fingerprint crash.Fingerprint
 	Upstream    roster.Upstream
 	Sent        time.Time // when the request was sent to the upstream
+	Heard       time.Time // when something last arrived from the upstream, for any request
 	Silent      bool      // the upstream left the connection open and sent nothing
 }
 
@@ -99,7 +100,7 @@
 		return
 	}
 	x.config.CrashTracker.ReportBroken(BrokenRun{
-		Request: x.call.ID, Fingerprint: x.fingerprint(), Upstream: r.upstream, Sent: r.sent, Silent: silent,
+		Request: x.call.ID, Fingerprint: x.fingerprint(), Upstream: r.upstream, Sent: r.sent, Heard: r.sign.time(), Silent: silent,
 	})
 }
 
--- a/internal/relay/lifesigns.go
+++ b/internal/relay/lifesigns.go
@@ -19,8 +19,7 @@
 
 func (s *lifeSign) note(now time.Time) { s.Store(now.UnixNano()) }
 
-// after reports whether anything has arrived after a time.
-func (s *lifeSign) after(t time.Time) bool { return s.Load() > t.UnixNano() }
+func (s *lifeSign) time() time.Time { return time.Unix(0, s.Load()) }
 
 // sentRun is a run of the request on an upstream.
 type sentRun struct {
@@ -43,7 +42,7 @@
 
 // silent reports whether the upstream has sent nothing for a while, neither for this run
 // nor for others.
-func (r *sentRun) silent() bool { return !r.sign.after(r.heard) }
+func (r *sentRun) silent() bool { return !r.sign.time().After(r.heard) }
 
 // lifeSignTTL is how long an upstream that sends nothing is remembered.
 const lifeSignTTL = time.Minute
@@ -66,7 +65,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for upstream, s := range l.at {
-		if !s.after(now.Add(-lifeSignTTL)) {
+		if now.Sub(s.time()) > lifeSignTTL {
 			delete(l.at, upstream)
 		}
 	}
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -55,10 +55,11 @@
 	return xxhash.Sum64String(fmt.Sprintf("%s.%s.%d", vm, boot, number))
 }
 
-// overlaps reports whether two runs may have seen the same crash. An upstream may
-// restart under its id, so that its id alone does not tell two crashes apart.
-func (r Run) overlaps(other Run) bool {
-	return r.Upstream == other.Upstream && !r.Sent.After(other.Ended) && !other.Sent.After(r.Ended)
+// sameCrash reports whether two runs may have seen the same crash: the second was sent
+// before the upstream can have restarted. An upstream may restart under its id, so that
+// its id alone does not tell two crashes apart.
+func (r Run) sameCrash(other Run, restart time.Duration) bool {
+	return r.Upstream == other.Upstream && !r.Sent.After(other.Ended.Add(restart)) && !other.Sent.After(r.Ended.Add(restart))
 }
 
 // SavedRun is a Run as it is stored. Times are in Unix milliseconds.
--- a/pkg/crash/tracker.go
+++ b/pkg/crash/tracker.go
@@ -12,6 +12,7 @@
 	Block       time.Duration // how long it is blocked after the last of these crashes; doubled for each further crash
 	MaxBlock    time.Duration // longest time for which a request is blocked
 	TTL         time.Duration // the crashes of a request are forgotten when no further one follows for this long; longer than MaxBlock
+	Restart     time.Duration // shortest time from a crash of an upstream until it runs requests again
 	MaxRequests int           // maximum number of requests whose crashes are remembered
 }
 
@@ -39,7 +40,7 @@
 		return false
 	}
 	known := t.runs[f]
-	if slices.ContainsFunc(known, func(k Run) bool { return k.ID == r.ID || k.overlaps(r) }) {
+	if slices.ContainsFunc(known, func(k Run) bool { return k.ID == r.ID || k.sameCrash(r, t.config.Restart) }) {
 		return false
 	}
 	if len(known) == 0 && len(t.runs) >= t.config.MaxRequests {
