--- a/internal/edge/bench_test.go
+++ b/internal/edge/bench_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/tanagerlb/tanagerlb/internal/relay"
+	"github.com/tanagerlb/tanagerlb/pkg/crash"
 	"github.com/tanagerlb/tanagerlb/pkg/engine"
 	"github.com/tanagerlb/tanagerlb/pkg/fence"
 	"github.com/tanagerlb/tanagerlb/pkg/gossip"
@@ -93,3 +94,28 @@
 		})
 	}
 }
+
+// Requests that are remembered because an upstream crashed under them.
+func BenchmarkSuspects(b *testing.B) {
+	for _, count := range []int{100, 1000, 10_000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			c := loneVM()
+			var runs []crashRun
+			for i := range count {
+				runs = append(runs, crashRun{Fingerprint: crash.Fingerprint(i + 1), ID: uint64(i + 1), Upstream: "e1"})
+			}
+			c.recordCrashes(start, runs)
+			b.Run("review", func(b *testing.B) {
+				for b.Loop() {
+					c.poison.reviewAt = time.Time{}
+					c.reviewCrashes(b.Context(), start)
+				}
+			})
+			b.Run("clear", func(b *testing.B) {
+				for b.Loop() {
+					c.clear(crash.Fingerprint(1))
+				}
+			})
+		})
+	}
+}
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -195,9 +195,12 @@
 	for upstream, list := range p.pending {
 		p.pending[upstream] = slices.DeleteFunc(list, func(s suspect) bool { return s.fingerprint == f })
 	}
-	counted := len(p.tracker.Runs(f)) > 0
+	counted, blocked := len(p.tracker.Runs(f)) > 0, !p.tracker.BlockedUntil(f).IsZero()
 	p.tracker.Clear(f)
-	p.publish()
+	p.stale = true
+	if blocked {
+		p.publish()
+	}
 	return counted
 }
 
