fix(edge): after a block, VMs try a request one after the other

Each VM tried a request when its block was over, so that one that crashes upstreams could crash one for each VM at once, before the first crash was known to the others.

Fix: VMs take turns of ten seconds in rendezvous order.

TestBlockedRequestIsTriedByOneVMAfterTheOther failed before: all four at once.

--- a/internal/edge/bench_test.go
+++ b/internal/edge/bench_test.go
@@ -98,7 +98,7 @@
 // Requests that are remembered because an upstream crashed under them.
 func BenchmarkSuspects(b *testing.B) {
 	for _, count := range []int{100, 1000, 10_000} {
-		b.Run(fmt.Sprint(count), func(b *testing.B) {
+		b.Run(strconv.Itoa(count), func(b *testing.B) {
 			c := loneVM()
 			var runs []crashRun
 			for i := range count {
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -33,6 +33,9 @@
 	crashTTL = 2 * maxBlockTime
 	// trialTime is the least time between two runs of a request that was blocked.
 	trialTime = 10 * time.Second
+	// maxTurn bounds the turns that a VM waits after a block before it may try the
+	// request.
+	maxTurn = 6
 	// detectionTime is the longest time from a broken connection to the detection of
 	// the upstream's crash: three heartbeats and the lag of the store.
 	detectionTime = 8 * time.Second
@@ -171,13 +174,23 @@
 		pending: map[string][]suspect{}, outages: map[string]*outage{}, crashed: map[string]time.Time{}, probing: map[string]bool{}, saved: map[crash.Fingerprint]int{},
 		trials: trials{begun: map[crash.Fingerprint]time.Time{}},
 	}
-	p.publish()
+	p.watched.Store(&map[crash.Fingerprint]time.Time{})
 	return p
 }
 
-// publish replaces watched.
-func (p *poison) publish() {
+// publishPoison makes the state of requests that are watched visible to the request
+// path. When the time of a block is over, the VMs try the request one after the other in
+// rendezvous order, so that it does not crash an upstream of each.
+func (c *control) publishPoison() {
+	p := c.poison
 	watched := p.tracker.Blocked()
+	names, _ := c.liveVMs()
+	for f, until := range watched {
+		if !until.IsZero() {
+			turn := slices.Index(rank.Order(f.String(), names), c.self.Name)
+			watched[f] = until.Add(time.Duration(min(turn, maxTurn)) * trialTime)
+		}
+	}
 	for _, list := range p.pending {
 		for _, s := range list {
 			if _, ok := watched[s.fingerprint]; !ok {
@@ -189,23 +202,21 @@
 	p.stale = false
 }
 
-// clear forgets that upstreams crashed under a request, or may have. It reports
-// whether any is known to have.
-func (p *poison) clear(f crash.Fingerprint) bool {
+// forget forgets that upstreams crashed under a request, or may have. It reports whether
+// any is known to have, and whether the request was blocked.
+func (p *poison) forget(f crash.Fingerprint) (counted, blocked bool) {
 	for upstream, list := range p.pending {
 		p.pending[upstream] = slices.DeleteFunc(list, func(s suspect) bool { return s.fingerprint == f })
 	}
-	counted, blocked := len(p.tracker.Runs(f)) > 0, !p.tracker.BlockedUntil(f).IsZero()
+	counted, blocked = len(p.tracker.Runs(f)) > 0, !p.tracker.BlockedUntil(f).IsZero()
 	p.tracker.Clear(f)
 	p.stale = true
-	if blocked {
-		p.publish()
-	}
-	return counted
+	return counted, blocked
 }
 
-// expire forgets old crashes.
-func (p *poison) expire(now time.Time) {
+// expire forgets old crashes and publishes what has changed.
+func (c *control) expirePoison(now time.Time) {
+	p := c.poison
 	for upstream, o := range p.outages {
 		if now.Sub(o.last) > longestRun {
 			delete(p.outages, upstream)
@@ -217,7 +228,7 @@
 		}
 	}
 	if len(p.tracker.Expire(now)) > 0 || p.stale {
-		p.publish()
+		c.publishPoison()
 	}
 }
 
@@ -370,7 +381,7 @@
 		}
 	}
 	if len(blocked) > 0 {
-		c.poison.publish()
+		c.publishPoison()
 	}
 	return blocked
 }
@@ -391,7 +402,11 @@
 
 // clear forgets the crashes of a request. It reports whether there were any.
 func (c *control) clear(f crash.Fingerprint) bool {
-	if !c.poison.clear(f) {
+	counted, blocked := c.poison.forget(f)
+	if blocked {
+		c.publishPoison()
+	}
+	if !counted {
 		return false
 	}
 	c.metrics.Suspected("cleared")
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -193,7 +194,7 @@
 	for _, id := range []string{"e1", "e2", "e3"} {
 		c.noteBroken(t.Context(), start, brokenRun(7, id, start))
 	}
-	c.poison.expire(start)
+	c.expirePoison(start)
 	_, watched := (*c.poison.watched.Load())[7]
 	is.True(watched) // the request path reports its complete runs
 	c.noteCompleted(7)
@@ -226,6 +227,30 @@
 	}
 }
 
+// Each VM tried the request when its block was over.
+func TestBlockedRequestIsTriedByOneVMAfterTheOther(t *testing.T) {
+	is := is.New(t)
+	names := []string{"a", "b", "c", "d"}
+	admitted := map[time.Duration]int{}
+	for _, name := range names {
+		vm := loneVM()
+		vm.self.Name = name
+		vm.gossip = gossip.New(gossip.Config{}, vm.self)
+		for _, other := range names {
+			if other != name {
+				vm.gossip.ApplyDirect(start, gossip.Update{VM: gossip.VM{Name: other}, Status: gossip.Alive})
+			}
+		}
+		var runs []crashRun
+		for i := range 3 {
+			runs = append(runs, crashRun{Fingerprint: 7, ID: uint64(i + 1), Upstream: strconv.Itoa(i)})
+		}
+		vm.recordCrashes(start, runs)
+		admitted[vm.remaining(start, 7)-blockTime]++
+	}
+	is.Equal(admitted, map[time.Duration]int{0: 1, trialTime: 1, 2 * trialTime: 1, 3 * trialTime: 1})
+}
+
 // After the time for which it was blocked, a request that crashes one more upstream is
 // blocked again at once, for longer.
 func TestBlockIsLongerAfterEachCrash(t *testing.T) {
@@ -237,7 +262,7 @@
 		c.noteCrash(at, "e1", at, learnedByDial)
 		is.Equal(c.remaining(at, 7), want)
 		at = at.Add(max(want, time.Second))
-		c.poison.expire(at)
+		c.expirePoison(at)
 		is.Equal(c.remaining(at, 7), time.Duration(0))
 	}
 }
