refactor(edge): split the detection of poison requests; count at the reporter too

A VM that reports runs counts all of them itself, also beside those for which it keeps count. Suspects of upstreams that are gone or were never found to have crashed are dropped with the tick, not with the next one that breaks off there; a counter has their number.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -278,9 +278,11 @@
 func (c *control) reconcile(now time.Time) {
 	for _, u := range c.roster.Expire(now) {
 		c.logger.Info("upstream: gone", zap.String("upstream", u.ID))
-		if !u.Draining { // one that drains leaves as planned
-			c.noteCrash(now, u.ID, now, learnedFromMissingEntry)
+		if u.Draining { // it left as planned
+			delete(c.poison.pending, u.ID)
+			continue
 		}
+		c.noteCrash(now, u.ID, now, learnedFromMissingEntry)
 	}
 	for id, h := range c.held {
 		claim, ok := c.fence.Get(id)
--- /dev/null
+++ b/internal/edge/suspects.go
@@ -0,0 +1,227 @@
+package edge
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/tanagerlb/tanagerlb/pkg/crash"
+	"github.com/tanagerlb/tanagerlb/pkg/rank"
+	"github.com/tanagerlb/tanagerlb/pkg/roster"
+)
+
+// outage is a time in which an upstream breaks off all requests. One that was sent
+// after its begin cannot be its cause.
+type outage struct{ began, last time.Time }
+
+// isCause reports whether a run that breaks off at now may have been the cause. The
+// outage is over when something arrived from the upstream, or when it had time to
+// restart without a broken request.
+func (p *poison) isCause(now time.Time, e requestBroken) bool {
+	o, ok := p.outages[e.Upstream.ID]
+	if !ok || e.Heard.After(o.last) || e.Sent.Sub(o.last) > restartTime {
+		p.outages[e.Upstream.ID] = &outage{began: now, last: now}
+		return true
+	}
+	o.last = now
+	return !e.Sent.After(o.began)
+}
+
+// suspect is a request that may have crashed its upstream.
+type suspect struct {
+	fingerprint crash.Fingerprint
+	run         crash.Run
+}
+
+// handlePoison handles the events about poison requests. It returns false for any other
+// event.
+func (c *control) handlePoison(ctx context.Context, now time.Time, e event) bool {
+	switch e := e.(type) {
+	case requestBroken:
+		c.noteBroken(ctx, now, e)
+	case upstreamChecked:
+		delete(c.poison.probing, e.upstream)
+	case unreachable:
+		c.noteCrash(now, e.upstream, now, learnedByDial)
+	case crashesSaved:
+		c.noteSaved(e)
+	case requestCompleted:
+		c.noteCompleted(e.fingerprint)
+	default:
+		return false
+	}
+	return true
+}
+
+// crashProbe checks whether an upstream still accepts connections.
+type crashProbe struct {
+	check    func(context.Context, netip.AddrPort) error
+	post     func(event)
+	upstream roster.Upstream
+}
+
+func (p *crashProbe) run(ctx context.Context) {
+	time.Sleep(probeDelay)
+	if err := p.check(ctx, p.upstream.Address); err != nil && ctx.Err() == nil {
+		p.post(unreachable{upstream: p.upstream.ID})
+	}
+	p.post(upstreamChecked{upstream: p.upstream.ID})
+}
+
+// noteBroken stores a request that broke off, in case its upstream turns out to have
+// crashed. The upstream is checked at once: this VM may have no other request for it,
+// and the store drops its entry only after seconds.
+func (c *control) noteBroken(ctx context.Context, now time.Time, e requestBroken) {
+	id := e.Upstream.ID
+	if !c.poison.probing[id] {
+		c.poison.probing[id] = true
+		go (&crashProbe{check: c.check, post: c.post, upstream: e.Upstream}).run(ctx)
+	}
+	if !c.poison.isCause(now, e) {
+		return
+	}
+	list := c.poison.pending[id]
+	if len(list) < maxFingerprints {
+		c.poison.runs++
+		list = append(list, suspect{fingerprint: e.Fingerprint, run: crash.Run{
+			ID: crash.RunID(c.self.Name, strconv.FormatInt(c.self.Boot, 10), c.poison.runs), Upstream: id, Sent: e.Sent, Ended: now,
+		}})
+	}
+	c.poison.pending[id], c.poison.stale = list, true
+	c.metrics.Suspected("broke off")
+	c.logger.Info("crash: request broke off", zap.String("request", e.Request), zap.String("upstream", id),
+		zap.Stringer("print", e.Fingerprint), zap.Bool("silent", e.Silent))
+	if e.Sent.Before(c.poison.crashed[id]) {
+		c.reportSuspects(now, id, learnedBefore)
+	}
+}
+
+// noteCrash handles the crash of an upstream, which was before the given time. learned
+// tells how this VM learned of it. Each request that broke off there shortly before may
+// be the cause, and so may those that are still to break off: a connection may stay
+// open for seconds after its upstream is gone.
+func (c *control) noteCrash(now time.Time, upstream string, before time.Time, learned string) {
+	if before.After(c.poison.crashed[upstream]) {
+		c.poison.crashed[upstream] = before
+	}
+	c.reportSuspects(now, upstream, learned)
+}
+
+// dropOldSuspects forgets the requests that broke off at an upstream too long ago for its
+// crash to be detected still.
+func (c *control) dropOldSuspects(now time.Time, upstream string) {
+	list := c.poison.pending[upstream]
+	kept := slices.DeleteFunc(slices.Clone(list), func(s suspect) bool { return now.Sub(s.run.Ended) > detectionTime })
+	if len(kept) == len(list) {
+		return
+	}
+	c.metrics.SuspectsForgotten(len(list) - len(kept))
+	c.poison.stale = true
+	c.poison.pending[upstream] = kept
+	if len(kept) == 0 {
+		delete(c.poison.pending, upstream)
+	}
+}
+
+// reportSuspects reports the requests that broke off at an upstream that has crashed to
+// the VMs that count their crashes.
+func (c *control) reportSuspects(now time.Time, upstream, learned string) {
+	c.dropOldSuspects(now, upstream)
+	list := c.poison.pending[upstream]
+	if len(list) == 0 {
+		return
+	}
+	delete(c.poison.pending, upstream)
+	c.poison.stale = true
+	c.metrics.CrashLearned(learned)
+	c.logger.Info("crash: upstream crashed", zap.String("upstream", upstream), zap.String("learned", learned),
+		zap.Int("suspects", len(list)), zap.Duration("after", now.Sub(list[0].run.Ended)))
+	names, live := c.liveVMs()
+	var counted []crashRun
+	reports := map[string][]crashRun{} // by name of the VM that keeps count
+	for _, s := range list {
+		run := newCrashRun(now, s.fingerprint, s.run)
+		counted = append(counted, run)
+		for _, name := range rank.Top(s.fingerprint.String(), names, tallyVMs) {
+			reports[name] = append(reports[name], run)
+		}
+	}
+	c.countCrashes(now, counted)
+	delete(reports, c.self.Name)
+	for name, runs := range reports {
+		for part := range slices.Chunk(runs, packetRuns) {
+			c.transport.send(live[name].Peer, packet{CrashReport: &crashReport{Runs: part}})
+		}
+	}
+}
+
+// countCrashes counts crashes against the requests that ran meanwhile, and tells all
+// VMs to block those that reach blockThreshold.
+func (c *control) countCrashes(now time.Time, runs []crashRun) {
+	c.poison.reviewAt = time.Time{} // saves the new count with the next tick
+	for _, f := range c.recordCrashes(now, runs) {
+		notice := &blockNotice{}
+		for _, r := range c.poison.tracker.Runs(f) {
+			notice.Runs = append(notice.Runs, newCrashRun(now, f, r))
+		}
+		_, others := c.liveVMs()
+		for _, vm := range others {
+			c.transport.send(vm.Peer, packet{BlockNotice: notice})
+		}
+	}
+}
+
+// recordCrashes records crashes, and returns the requests that are blocked because of
+// them.
+func (c *control) recordCrashes(now time.Time, runs []crashRun) []crash.Fingerprint {
+	var blocked []crash.Fingerprint
+	for _, r := range runs {
+		if !c.poison.tracker.Record(now, r.Fingerprint, r.at(now)) {
+			continue
+		}
+		c.poison.stale = true
+		c.metrics.Suspected("counted")
+		c.logger.Info("crash: counted", zap.String("upstream", r.Upstream), zap.Stringer("print", r.Fingerprint),
+			zap.Int("crashes", len(c.poison.tracker.Runs(r.Fingerprint))), zap.Int("limit", blockThreshold))
+		if until := c.poison.tracker.BlockedUntil(r.Fingerprint); now.Before(until) {
+			c.logger.Warn("relay: blocking a request that crashes upstreams", zap.Stringer("print", r.Fingerprint), zap.Duration("for", until.Sub(now)))
+			blocked = append(blocked, r.Fingerprint)
+		}
+	}
+	if len(blocked) > 0 {
+		c.publishPoison()
+	}
+	return blocked
+}
+
+// noteCompleted handles the complete run of a request under which upstreams have
+// crashed before, or may have: the request is not the cause.
+func (c *control) noteCompleted(f crash.Fingerprint) {
+	if !c.clear(f) {
+		return
+	}
+	names, live := c.liveVMs()
+	for _, name := range rank.Top(f.String(), names, tallyVMs) {
+		if name != c.self.Name {
+			c.transport.send(live[name].Peer, packet{ClearNotice: &clearNotice{Fingerprint: f}})
+		}
+	}
+}
+
+// clear forgets the crashes of a request. It reports whether there were any.
+func (c *control) clear(f crash.Fingerprint) bool {
+	counted, blocked := c.poison.forget(f)
+	if blocked {
+		c.publishPoison()
+	}
+	if !counted {
+		return false
+	}
+	c.metrics.Suspected("cleared")
+	c.logger.Info("crash: request ran to its end", zap.Stringer("print", f))
+	return true
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -36,6 +36,12 @@
 // the suspicion.
 func (s *Set) Suspected(state string) { s.count("crash_suspects", "state", state) }
 
+// SuspectsForgotten counts requests that broke off with an upstream that is not known to
+// have crashed.
+func (s *Set) SuspectsForgotten(count int) {
+	s.set.GetOrCreateCounter(`tanagerlb_crash_suspects_total{state="forgotten"}`).Add(count)
+}
+
 // CrashLearned counts an upstream crash under which requests broke off, by how the
 // VM learned of it.
 func (s *Set) CrashLearned(source string) { s.count("crashes", "learned", source) }
