fix(plain,node): hold crashes of plain services against the calls that run there

Cause: only model calls were counted.

Fix: the client of plain services checks an upstream that broke a call off; if it accepts no connections, the run is recorded in the same stream of the log. After the third crash all VMs refuse the call, with the time to come back; a resent key keeps its unknown outcome. A complete call ends the suspicion. Engines run one suspect at a time, so two crashes suffice there; the tracker has a limit for each.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -106,7 +106,6 @@
 	metrics := metric.New()
 	d.pool = peer.NewPool(peer.PoolConfig{MessageTimeout: s.Limits.ProgressTimeout})
 	engines := infer.NewClient(infer.Config{TokenTimeout: s.Limits.ProgressTimeout, LoadTimeout: loadTimeout(s.Store.LoadTime), RequestTimeout: engineTimeout})
-	services := plain.NewClient(plain.Config{DialTimeout: dialTimeout})
 	self := member.VM{Name: s.VM, Boot: boot, Zone: s.Zone, Caller: s.Caller, Peer: s.Peer}
 	d.control = ctrl.New(ctrl.Config{
 		Node:               nodeConfig(s, self),
@@ -119,6 +118,7 @@
 		Logger:             d.logger,
 		OnShutdownComplete: func() { d.handoverOnce.Do(func() { close(d.handedOver) }) },
 	})
+	services := plain.NewWatcher(plain.NewClient(plain.Config{DialTimeout: dialTimeout}), d.control)
 	engineOwner := owner.New(owner.Config{Control: d.control, Engines: engines, Metrics: metrics})
 	keyKeeper := keeper.New(keeper.Config{Control: d.control, Services: services, Metrics: metrics})
 	d.entry = entry.New(entry.Config{
--- a/internal/entry/invoke.go
+++ b/internal/entry/invoke.go
@@ -8,9 +8,11 @@
 	"github.com/tanagerlb/tanagerlb/internal/delay"
 	"github.com/tanagerlb/tanagerlb/internal/keeper"
 	"github.com/tanagerlb/tanagerlb/internal/plain"
+	"github.com/tanagerlb/tanagerlb/pkg/crash"
 	"github.com/tanagerlb/tanagerlb/pkg/docs"
 	"github.com/tanagerlb/tanagerlb/pkg/keys"
 	"github.com/tanagerlb/tanagerlb/pkg/member"
+	"github.com/tanagerlb/tanagerlb/pkg/node"
 	"github.com/tanagerlb/tanagerlb/pkg/retry"
 	"github.com/tanagerlb/tanagerlb/pkg/spec"
 )
@@ -41,6 +43,10 @@
 	if refusal != nil {
 		return nil, unknownIfResent(refusal, c)
 	}
+	content := crash.Fingerprint(fingerprint(c.Service, c.Call, c.Body))
+	if refusal := e.refuseBlocked(time.Now(), content); refusal != nil {
+		return nil, unknownIfResent(refusal, c)
+	}
 	deadline := time.Now().Add(call.Deadline)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
@@ -50,7 +56,16 @@
 	if e.config.View().Leaving {
 		return nil, unknownIfResent(e.refuse(Refused, keys.NotRun, VMLeaving, retryDelay), c)
 	}
-	return e.invokeIdempotent(ctx, c, revision, deadline)
+	return e.invokeIdempotent(ctx, c, content, revision, deadline)
+}
+
+// refuseBlocked refuses a call that crashes the upstreams that run it. It returns nil if
+// the call may run.
+func (e *Entry) refuseBlocked(now time.Time, content crash.Fingerprint) *Refusal {
+	if remaining := e.config.View().BlockedFor(now, content); remaining > 0 {
+		return e.refuse(Refused, keys.NotRun, string(node.Blocked), remaining)
+	}
+	return nil
 }
 
 // unknownIfResent adjusts a refusal that was decided without asking the VM that
@@ -65,14 +80,14 @@
 
 // invokeIdempotent runs a call that may be repeated. Each attempt goes to the next
 // of the service's upstreams.
-func (e *Entry) invokeIdempotent(ctx context.Context, c PlainCall, revision *docs.Revision, deadline time.Time) (*PlainAnswer, *Refusal) {
+func (e *Entry) invokeIdempotent(ctx context.Context, c PlainCall, content crash.Fingerprint, revision *docs.Revision, deadline time.Time) (*PlainAnswer, *Refusal) {
 	budgets := []string{"caller " + c.Caller, "service " + c.Service}
 	e.creditBudgets(budgets...)
 	addresses := keeper.Upstreams(revision, e.NewID())
 	sent := false
 	for number := 1; ; number++ {
 		address := addresses[(number-1)%len(addresses)]
-		reply, err := e.config.Services.Call(ctx, address, plain.Call{Name: c.Call, Key: c.Key, Body: c.Body})
+		reply, err := e.config.Services.Call(ctx, address, plain.Call{Name: c.Call, Key: c.Key, Body: c.Body, Fingerprint: content})
 		if err == nil {
 			e.config.Metrics.Answered("plain")
 			return &PlainAnswer{Reply: keys.Reply(reply)}, nil
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -11,6 +11,7 @@
 
 	"github.com/tanagerlb/tanagerlb/internal/metric"
 	"github.com/tanagerlb/tanagerlb/internal/plain"
+	"github.com/tanagerlb/tanagerlb/pkg/crash"
 	"github.com/tanagerlb/tanagerlb/pkg/docs"
 	"github.com/tanagerlb/tanagerlb/pkg/keys"
 	"github.com/tanagerlb/tanagerlb/pkg/node"
@@ -117,7 +118,7 @@
 func (j *job) send(ctx context.Context) node.KeyEnded {
 	ctx, cancel := context.WithDeadline(ctx, j.request.Deadline)
 	defer cancel()
-	call := plain.Call{Name: j.request.Call, Key: j.request.Key.Text, Body: j.request.Body}
+	call := plain.Call{Name: j.request.Call, Key: j.request.Key.Text, Body: j.request.Body, Fingerprint: crash.Fingerprint(j.request.Fingerprint)}
 	for _, address := range j.upstreams() {
 		reply, err := j.keeper.config.Services.Call(ctx, address, call)
 		switch {
--- a/internal/plain/plain.go
+++ b/internal/plain/plain.go
@@ -12,6 +12,8 @@
 	"net/netip"
 	"strings"
 	"time"
+
+	"github.com/tanagerlb/tanagerlb/pkg/crash"
 )
 
 // Errors that a Client returns. ErrNotSent means that the call certainly did not
@@ -24,7 +26,8 @@
 // maxReply is the maximum size of a reply's body, in bytes.
 const maxReply = 1 << 20
 
-// Services sends calls to the upstreams of plain services. Client implements it.
+// Services sends calls to the upstreams of plain services. Client and Watcher implement
+// it.
 type Services interface {
 	Call(ctx context.Context, address netip.AddrPort, c Call) (Reply, error)
 }
@@ -34,6 +37,9 @@
 	Name string
 	Key  string // idempotency key, if any
 	Body string
+	// Fingerprint is a hash of the call's content, by which calls that crash upstreams
+	// are recognized.
+	Fingerprint crash.Fingerprint
 }
 
 // Reply is the response of a plain service.
@@ -48,14 +54,17 @@
 }
 
 // Client sends calls to the upstreams of plain services over HTTP.
-type Client struct{ http *http.Client }
+type Client struct {
+	http   *http.Client
+	dialer *net.Dialer
+}
 
 // NewClient returns a Client that opens a new connection for each call. A call thus
 // never fails on a stale connection. If its connection could not be opened, the call
 // certainly did not run.
 func NewClient(c Config) *Client {
 	dialer := &net.Dialer{Timeout: c.DialTimeout}
-	return &Client{http: &http.Client{
+	return &Client{dialer: dialer, http: &http.Client{
 		Transport:     &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
@@ -85,6 +94,17 @@
 	return Reply{Status: response.StatusCode, Body: string(body)}, nil
 }
 
+// Check opens a connection to an upstream and closes it. It returns an error if the
+// upstream accepts none.
+func (c *Client) Check(ctx context.Context, address netip.AddrPort) error {
+	conn, err := c.dialer.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return fmt.Errorf("check upstream: %w", err)
+	}
+	_ = conn.Close() // nothing was sent
+	return nil
+}
+
 // classify wraps an error with ErrNotSent if the connection could not be opened,
 // and with ErrIncomplete otherwise.
 func classify(err error) error {
--- a/internal/stand/service.go
+++ b/internal/stand/service.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 )
 
@@ -14,6 +15,8 @@
 	mux   *http.ServeMux
 	mutex sync.Mutex
 	runs  map[string]int
+	crash func()
+	text  string // text in the body of calls that crash the service; empty for none
 }
 
 // NewService returns a service that answers each call with the call's name and body.
@@ -45,10 +48,31 @@
 	s.mutex.Lock()
 	s.runs[r.Header.Get("Idempotency-Key")]++
 	s.mutex.Unlock()
+	s.crashIfPoisoned(string(body))
 	s.injectAfter()
 	_, _ = w.Write(append([]byte(r.PathValue("call")+": "), body...))
 }
 
+// CrashOn makes calls whose body contains a text crash the service: crash is called
+// when such a call runs, and the call gets no answer.
+func (s *Service) CrashOn(text string, crash func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.text, s.crash = text, crash
+}
+
+// crashIfPoisoned crashes the service if CrashOn says so for a call with this body.
+func (s *Service) crashIfPoisoned(body string) {
+	s.mutex.Lock()
+	text, crash := s.text, s.crash
+	s.mutex.Unlock()
+	if text == "" || !strings.Contains(body, text) {
+		return
+	}
+	crash()
+	panic(http.ErrAbortHandler)
+}
+
 func (s *Service) control(w http.ResponseWriter, r *http.Request) {
 	var faults Faults
 	if readJSON(w, r, &faults) {
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -47,6 +47,7 @@
 	Upstream string    // id of the upstream
 	Sent     time.Time // when the request was sent to the upstream
 	Ended    time.Time // when the request broke off
+	Alone    bool      // no other request that is a suspect ran there at the same time
 }
 
 // RunID returns the ID of a run: the VM that sent the request, the run of the VM's
@@ -68,16 +69,17 @@
 	Upstream string `json:"upstream"`
 	Sent     int64  `json:"sent"`
 	Ended    int64  `json:"ended"`
+	Alone    bool   `json:"alone,omitempty"`
 }
 
 // Save returns the run as it is stored.
 func (r Run) Save() SavedRun {
-	return SavedRun{ID: r.ID, Upstream: r.Upstream, Sent: r.Sent.UnixMilli(), Ended: r.Ended.UnixMilli()}
+	return SavedRun{ID: r.ID, Upstream: r.Upstream, Sent: r.Sent.UnixMilli(), Ended: r.Ended.UnixMilli(), Alone: r.Alone}
 }
 
 // Load returns the run. It may have ended in the future, as the clocks of VMs differ.
 func (r SavedRun) Load() Run {
-	return Run{ID: r.ID, Upstream: r.Upstream, Sent: time.UnixMilli(r.Sent), Ended: time.UnixMilli(r.Ended)}
+	return Run{ID: r.ID, Upstream: r.Upstream, Sent: time.UnixMilli(r.Sent), Ended: time.UnixMilli(r.Ended), Alone: r.Alone}
 }
 
 // Stream is the log stream of the records about crashes.
--- a/pkg/crash/tracker.go
+++ b/pkg/crash/tracker.go
@@ -9,6 +9,7 @@
 // remembers.
 type TrackerConfig struct {
 	Crashes     int           // a request is blocked once this many upstreams have crashed while they ran it
+	Alone       int           // the same for requests whose runs were alone (Run.Alone)
 	Block       time.Duration // how long it is blocked after the last of these crashes; doubled for each further crash
 	MaxBlock    time.Duration // longest time for which a request is blocked
 	TTL         time.Duration // the crashes of a request are forgotten when no further one follows for this long; longer than MaxBlock
@@ -76,11 +77,15 @@
 // zero time if too few upstreams have crashed.
 func (t *Tracker) BlockedUntil(f Fingerprint) time.Time {
 	runs := t.runs[f]
-	if len(runs) < t.config.Crashes {
+	limit := t.config.Crashes
+	if len(runs) > 0 && runs[0].Alone {
+		limit = t.config.Alone
+	}
+	if len(runs) < limit {
 		return time.Time{}
 	}
 	block := t.config.Block
-	for range len(runs) - t.config.Crashes {
+	for range len(runs) - limit {
 		block = min(2*block, t.config.MaxBlock)
 	}
 	return runs[len(runs)-1].Ended.Add(block)
--- a/pkg/crash/tracker_test.go
+++ b/pkg/crash/tracker_test.go
@@ -12,7 +12,7 @@
 
 var start = time.Unix(1_000_000, 0)
 
-var config = crash.TrackerConfig{Crashes: 3, Block: time.Minute, MaxBlock: 5 * time.Minute, TTL: 10 * time.Minute, Restart: time.Second / 2, MaxRequests: 10}
+var config = crash.TrackerConfig{Crashes: 3, Alone: 2, Block: time.Minute, MaxBlock: 5 * time.Minute, TTL: 10 * time.Minute, Restart: time.Second / 2, MaxRequests: 10}
 
 // run returns a run that lasted from one second after start to another.
 func run(id uint64, upstream string, sent, ended float64) crash.Run {
@@ -20,6 +20,12 @@
 	return crash.Run{ID: id, Upstream: upstream, Sent: at(sent), Ended: at(ended)}
 }
 
+func alone(id uint64, upstream string, sent, ended float64) crash.Run {
+	r := run(id, upstream, sent, ended)
+	r.Alone = true
+	return r
+}
+
 func TestTrackerBlocksAfterSeveralCrashes(t *testing.T) {
 	for _, c := range []struct {
 		name    string
@@ -35,6 +41,7 @@
 		{"one run, reported three times", []crash.Run{run(1, "e1", 0, 1), run(1, "e1", 2, 3), run(1, "e1", 4, 5)}, 0},
 		{"reported late", []crash.Run{run(3, "e3", 4, 5), run(1, "e1", 0, 1), run(2, "e2", 2, 3)}, 65 * time.Second},
 		{"a fourth crash", []crash.Run{run(1, "e1", 0, 1), run(2, "e2", 2, 3), run(3, "e3", 4, 5), run(4, "e4", 65, 66)}, 186 * time.Second},
+		{"two upstreams, run alone", []crash.Run{alone(1, "e1", 0, 1), alone(2, "e2", 2, 3)}, 63 * time.Second},
 		{"many crashes", []crash.Run{run(1, "e1", 0, 1), run(2, "e2", 2, 3), run(3, "e3", 4, 5), run(4, "e4", 6, 7), run(5, "e5", 8, 9), run(6, "e6", 10, 11)}, 311 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/pkg/node/crashes.go
+++ b/pkg/node/crashes.go
@@ -13,6 +13,8 @@
 	// blockThreshold is the number of engine crashes under a request at which the
 	// request is blocked. Two suffice, as an engine runs one suspect at a time.
 	blockThreshold = 2
+	// plainThreshold is the same for calls to plain services, which run beside others.
+	plainThreshold = 3
 	// maxSuspects bounds the number of requests whose crashes are remembered.
 	maxSuspects = 10_000
 )
@@ -65,21 +67,32 @@
 	if c.suspect && len(n.crashes.Runs(c.fingerprint)) == 0 {
 		// The VM that sent the call knows of an earlier crash, whose record this VM has
 		// not read yet.
-		n.addRun(now, c.fingerprint, crash.Run{Sent: c.startedAt, Ended: c.startedAt})
+		n.addRun(now, c.fingerprint, crash.Run{Sent: c.startedAt, Ended: c.startedAt, Alone: true})
 	}
-	run := n.addRun(now, c.fingerprint, crash.Run{Upstream: c.engine, Sent: c.startedAt, Ended: now})
-	data, err := record.Encode(crash.KindCrashed, crash.RunRecord{Fingerprint: c.fingerprint, Run: run.Save()})
+	run := n.addRun(now, c.fingerprint, crash.Run{Upstream: c.engine, Sent: c.startedAt, Ended: now, Alone: true})
+	return n.appendRun(now, c.fingerprint, run)
+}
+
+// plainCrashed handles the crash of an upstream of a plain service under a call.
+func (n *Node) plainCrashed(now time.Time, e PlainCrashed) []Action {
+	run := n.addRun(now, e.Fingerprint, crash.Run{Upstream: e.Upstream, Sent: e.Sent, Ended: now})
+	return n.appendRun(now, e.Fingerprint, run)
+}
+
+// appendRun appends a record of a run during which an upstream crashed.
+func (n *Node) appendRun(now time.Time, f crash.Fingerprint, run crash.Run) []Action {
+	data, err := record.Encode(crash.KindCrashed, crash.RunRecord{Fingerprint: f, Run: run.Save()})
 	if err != nil {
 		return recordsIgnored(crash.Stream, err)
 	}
-	n.unreadCrashes[run.ID] = pendingRecord{fingerprint: c.fingerprint, data: data, appendedAt: now}
+	n.unreadCrashes[run.ID] = pendingRecord{fingerprint: f, data: data, appendedAt: now}
 	return []Action{Append{Stream: crash.Stream, Data: data}}
 }
 
 func (n *Node) addRun(now time.Time, f crash.Fingerprint, run crash.Run) crash.Run {
 	n.crashRuns++
 	run.ID = crash.RunID(n.config.Self.Name, n.config.Self.Boot, n.crashRuns)
-	n.crashes.Record(now, f, run)
+	n.viewStale = n.crashes.Record(now, f, run) || n.viewStale
 	return run
 }
 
@@ -90,6 +103,7 @@
 		return nil
 	}
 	n.crashes.Clear(f)
+	n.viewStale = true
 	data, err := record.Encode(crash.KindCleared, crash.ClearRecord{Fingerprint: f})
 	if err != nil {
 		return recordsIgnored(crash.Stream, err)
@@ -122,6 +136,7 @@
 }
 
 func (n *Node) readCrashes(now time.Time, records []record.Record) []Action {
+	n.viewStale = n.viewStale || len(records) > 0
 	var actions []Action
 	for _, r := range records {
 		run, err := n.crashes.Apply(now, r)
--- a/pkg/node/event.go
+++ b/pkg/node/event.go
@@ -75,6 +75,17 @@
 	Crashed                // the engine crashed
 )
 
+// PlainCrashed reports that an upstream of a plain service crashed while it ran a call.
+type PlainCrashed struct {
+	Fingerprint crash.Fingerprint
+	Upstream    string
+	Sent        time.Time // when the call was sent
+}
+
+// PlainCompleted reports that an upstream of a plain service answered a call under which
+// upstreams have crashed before.
+type PlainCompleted struct{ Fingerprint crash.Fingerprint }
+
 // CallWithdrawn reports that the caller no longer waits for a model call. It has no
 // effect on a call that was started.
 type CallWithdrawn struct{ ID string }
@@ -147,6 +158,8 @@
 func (CallArrived) event()       {}
 func (CallEnded) event()         {}
 func (CallWithdrawn) event()     {}
+func (PlainCrashed) event()      {}
+func (PlainCompleted) event()    {}
 func (LoadEnded) event()         {}
 func (UnloadEnded) event()       {}
 func (EngineReported) event()    {}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -174,7 +174,7 @@
 		claims:    claim.New(),
 		lease:     claim.Lease{Length: t.Lease, Drift: t.Drift},
 		crashes: crash.NewTracker(crash.TrackerConfig{
-			Crashes: blockThreshold, Block: t.Block, MaxBlock: t.MaxBlock, TTL: t.SuspectTTL, MaxRequests: maxSuspects,
+			Crashes: plainThreshold, Alone: blockThreshold, Block: t.Block, MaxBlock: t.MaxBlock, TTL: t.SuspectTTL, MaxRequests: maxSuspects,
 		}),
 		unreadCrashes: map[uint64]pendingRecord{},
 		keys: keys.New(keys.Config{
@@ -267,6 +267,10 @@
 		return n.callArrived(now, e)
 	case CallEnded:
 		return n.callEnded(now, e)
+	case PlainCrashed:
+		return n.plainCrashed(now, e)
+	case PlainCompleted:
+		return n.clearCrashes(e.Fingerprint)
 	case CallWithdrawn:
 		return n.callWithdrawn(now, e)
 	case LoadEnded:
--- a/pkg/node/view.go
+++ b/pkg/node/view.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/tanagerlb/tanagerlb/pkg/claim"
+	"github.com/tanagerlb/tanagerlb/pkg/crash"
 	"github.com/tanagerlb/tanagerlb/pkg/docs"
 	"github.com/tanagerlb/tanagerlb/pkg/member"
 	"github.com/tanagerlb/tanagerlb/pkg/rank"
@@ -20,13 +21,14 @@
 	Ready     bool // the VM is not leaving, and it has read the document stream up to its tail or knows a document
 	LogUp     bool // the document stream can be read
 	Live      []member.VM
-	Eligible  []string                  // names of the VMs that may own engines, keep keys or be directories (see eligibleVMs)
-	ByName    map[string]member.VM      // known VMs and this one, by name
-	ByBoot    map[string]member.VM      // known VMs and this one, by incarnation
-	States    map[string]string         // membership states of the other VMs, by name
-	Revisions map[string]*docs.Revision // documents in force, by service
-	Owners    map[string]Owner          // owners of engines, by engine name
-	Yields    []claim.Yield             // yields that this VM announces in its heartbeats
+	Eligible  []string                        // names of the VMs that may own engines, keep keys or be directories (see eligibleVMs)
+	ByName    map[string]member.VM            // known VMs and this one, by name
+	ByBoot    map[string]member.VM            // known VMs and this one, by incarnation
+	States    map[string]string               // membership states of the other VMs, by name
+	Revisions map[string]*docs.Revision       // documents in force, by service
+	Owners    map[string]Owner                // owners of engines, by engine name
+	Crashes   map[crash.Fingerprint]time.Time // requests under which upstreams have crashed; until when each is blocked, zero if it is not
+	Yields    []claim.Yield                   // yields that this VM announces in its heartbeats
 }
 
 // Owner tells which VM holds the claim to an engine. The field VM is zero if the owner
@@ -70,6 +72,7 @@
 		States:    map[string]string{},
 		Revisions: n.documents.Revisions(),
 		Owners:    map[string]Owner{},
+		Crashes:   n.crashes.Blocked(),
 		Yields:    n.Yields(now),
 	}
 	v.Ready = (n.caughtUp[docs.StreamName] || len(v.Revisions) > 0) && !v.Leaving
@@ -89,6 +92,12 @@
 	return v
 }
 
+// BlockedFor returns how long after now a request is refused because upstreams crash
+// when they run it; 0 if it may run.
+func (v *View) BlockedFor(now time.Time, f crash.Fingerprint) time.Duration {
+	return max(v.Crashes[f].Sub(now), 0)
+}
+
 // Keeper returns the VM that keeps the idempotency keys of a key partition, given the
 // name of the partition's log stream. It returns false if no VM is eligible.
 func (v *View) Keeper(stream string) (member.VM, bool) {
