--- a/internal/edge/crash_records_test.go
+++ b/internal/edge/crash_records_test.go
@@ -100,6 +100,21 @@
 	is.Equal(len(vm.restart(t, now).poison.tracker.Runs(7)), 0)
 }
 
+func TestOperatorLiftsABlock(t *testing.T) {
+	is := is.New(t)
+	vm, _ := vmWithStore(t)
+	now := time.Now()
+	for _, id := range []string{"e1", "e2", "e3"} {
+		now = now.Add(time.Second)
+		vm.crash(t, now, id)
+	}
+	is.True(vm.save(t, now))
+	is.True(vm.remaining(now, 7) > 0)
+	vm.applyFleet(now, platform.Record{Key: keyCrash + "7"})
+	is.Equal(vm.remaining(now, 7), time.Duration(0))
+	is.True(!vm.save(t, now.Add(5*time.Second)))
+}
+
 func TestCountIsSavedOnceTheStoreIsBack(t *testing.T) {
 	is := is.New(t)
 	vm, store := vmWithStore(t)
