fix(relay,crash): life signs by the steady clock; the oldest runs don't count again

A jump of the time of day made upstreams look silent. A run that had fallen out of the ten that are remembered counted as new whenever a peer or the store told it again (TestTrackerIgnoresTheOldestOfManyRuns failed before).

--- a/internal/relay/lifesigns.go
+++ b/internal/relay/lifesigns.go
@@ -10,16 +10,21 @@
 
 // lifeSigns holds when something last arrived from each upstream, for any request.
 type lifeSigns struct {
-	mu sync.Mutex
-	at map[string]*lifeSign
+	mu      sync.Mutex
+	started time.Time
+	at      map[string]*lifeSign
 }
 
-// lifeSign is the time of the last arrival from one upstream, in Unix nanoseconds.
-type lifeSign struct{ atomic.Int64 }
+// lifeSign is the time of the last arrival from one upstream. It is kept as the time
+// since the start, since the time of day may jump.
+type lifeSign struct {
+	started time.Time
+	elapsed atomic.Int64
+}
 
-func (s *lifeSign) note(now time.Time) { s.Store(now.UnixNano()) }
+func (s *lifeSign) note(now time.Time) { s.elapsed.Store(int64(now.Sub(s.started))) }
 
-func (s *lifeSign) time() time.Time { return time.Unix(0, s.Load()) }
+func (s *lifeSign) time() time.Time { return s.started.Add(time.Duration(s.elapsed.Load())) }
 
 // sentRun is a run of the request on an upstream.
 type sentRun struct {
@@ -53,7 +58,7 @@
 	defer l.mu.Unlock()
 	s, ok := l.at[upstream]
 	if !ok {
-		s = &lifeSign{}
+		s = &lifeSign{started: l.started}
 		s.note(now)
 		l.at[upstream] = s
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -107,7 +107,7 @@
 
 // New returns a handler that has not yet recorded the results of any upstream.
 func New(c Config) *Handler {
-	return &Handler{config: c, tracker: health.New(c.Health), budget: retry.New(c.Retries), lifeSigns: lifeSigns{at: map[string]*lifeSign{}}}
+	return &Handler{config: c, tracker: health.New(c.Health), budget: retry.New(c.Retries), lifeSigns: lifeSigns{started: time.Now(), at: map[string]*lifeSign{}}}
 }
 
 // StartDrain makes the handler close the caller's connection after each further
--- a/pkg/crash/tracker.go
+++ b/pkg/crash/tracker.go
@@ -44,6 +44,9 @@
 	if slices.ContainsFunc(known, func(k Run) bool { return k.ID == r.ID || k.sameCrash(r, t.config.Restart) }) {
 		return false
 	}
+	if len(known) >= maxRuns && r.Ended.Before(known[0].Ended) {
+		return false
+	}
 	if len(known) == 0 && len(t.runs) >= t.config.MaxRequests {
 		t.evict(now)
 	}
--- a/pkg/crash/tracker_test.go
+++ b/pkg/crash/tracker_test.go
@@ -74,6 +74,18 @@
 	is.True(tracker.BlockedUntil(7).IsZero())
 }
 
+// A run that is no longer remembered of a request must not count as a further one each
+// time that it is told again.
+func TestTrackerIgnoresTheOldestOfManyRuns(t *testing.T) {
+	is := is.New(t)
+	tracker := crash.NewTracker(config)
+	for i := range 20 {
+		is.True(tracker.Record(start, 7, run(uint64(i), "e1", float64(10*i), float64(10*i+1))))
+	}
+	is.True(!tracker.Record(start, 7, run(0, "e1", 0, 1)))
+	is.Equal(len(tracker.Runs(7)), 10)
+}
+
 func TestTrackerForgetsOldCrashes(t *testing.T) {
 	is := is.New(t)
 	tracker := crash.NewTracker(config)
