fix(relay): release the slot of a stream that is blocked before it is resumed

A stream that broke off after its first event, and was blocked while it waited for a slot to resume, aborted its connection before it gave the slot back, so that the holder counted one more running request.

--- a/internal/relay/crash_tracker.go
+++ b/internal/relay/crash_tracker.go
@@ -75,22 +75,19 @@
 // refuseArrived refuses the request, which has just arrived, if it is blocked because it
 // crashed too many upstreams. It reports whether the request was refused.
 func (x *exchange) refuseArrived() bool {
-	return x.refuseFor(x.config.CrashTracker.Admit(time.Now(), x.fingerprint()))
-}
-
-// refuseBlocked does the same for a request that is about to be sent: it may have been
-// blocked while it waited, or because of its last send.
-func (x *exchange) refuseBlocked() bool {
-	return x.refuseFor(x.config.CrashTracker.BlockedFor(time.Now(), x.fingerprint()))
-}
-
-func (x *exchange) refuseFor(remaining time.Duration) bool {
+	remaining := x.config.CrashTracker.Admit(time.Now(), x.fingerprint())
 	if remaining > 0 {
 		x.refuse(reasonPoison, remaining)
 	}
 	return remaining > 0
 }
 
+// blockedFor returns how long a request that is about to be sent stays blocked, or 0: it
+// may have been blocked while it waited, or because of its last send.
+func (x *exchange) blockedFor() time.Duration {
+	return x.config.CrashTracker.BlockedFor(time.Now(), x.fingerprint())
+}
+
 // reportBroken tells the CrashTracker that a run ended without a complete answer because
 // of err. If the upstream did not end it, that counts only if the upstream is silent.
 func (x *exchange) reportBroken(r *sentRun, err error) {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -47,7 +47,8 @@
 func (x *exchange) forward() {
 	tried := map[string]bool{}
 	for {
-		if x.sends > 0 && x.refuseBlocked() {
+		if remaining := x.blockedFor(); x.sends > 0 && remaining > 0 {
+			x.refuse(reasonPoison, remaining)
 			return
 		}
 		u, ok := x.pickUpstream(tried)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -47,8 +47,9 @@
 			x.refuse(string(reservation.Refusal.Reason), reservation.Refusal.Wait)
 			return
 		}
-		if x.refuseBlocked() {
+		if remaining := x.blockedFor(); remaining > 0 {
 			slot.Release(engine.Done)
+			x.refuse(reasonPoison, remaining)
 			return
 		}
 		retry := x.attempt(slot)
