--- a/internal/edge/crash_records_test.go
+++ b/internal/edge/crash_records_test.go
@@ -40,6 +40,16 @@
 	delete(c.poison.probing, upstream)
 }
 
+// crashThree lets three upstreams crash under a request, a second apart, and returns the
+// time of the last crash.
+func (c *control) crashThree(t *testing.T, now time.Time) time.Time {
+	for _, id := range []string{"e1", "e2", "e3"} {
+		now = now.Add(time.Second)
+		c.crash(t, now, id)
+	}
+	return now
+}
+
 // restart returns a VM that starts anew and lists the fleet topic of the other's store.
 func (c *control) restart(t *testing.T, now time.Time) *control {
 	next := loneVM()
@@ -75,10 +85,7 @@
 func TestStateOfAPeerHasTheCountOfCrashes(t *testing.T) {
 	is := is.New(t)
 	vm, now := loneVM(), time.Now()
-	for _, id := range []string{"e1", "e2", "e3"} {
-		now = now.Add(time.Second)
-		vm.crash(t, now, id)
-	}
+	now = vm.crashThree(t, now)
 	reply := make(chan state, 1)
 	vm.replyState(now, reply)
 	next := loneVM()
@@ -104,10 +111,7 @@
 	is := is.New(t)
 	vm, _ := vmWithStore(t)
 	now := time.Now()
-	for _, id := range []string{"e1", "e2", "e3"} {
-		now = now.Add(time.Second)
-		vm.crash(t, now, id)
-	}
+	now = vm.crashThree(t, now)
 	is.True(vm.save(t, now))
 	is.True(vm.remaining(now, 7) > 0)
 	vm.applyFleet(now, platform.Record{Key: keyCrash + "7"})
@@ -134,10 +138,7 @@
 	is := is.New(t)
 	vm, _ := vmWithStore(t)
 	now := time.Now()
-	for _, id := range []string{"e1", "e2", "e3"} {
-		now = now.Add(time.Second)
-		vm.crash(t, now, id)
-	}
+	now = vm.crashThree(t, now)
 	is.True(vm.save(t, now))
 	skew := 6 * time.Second
 	behind := now.Add(-skew)
