feat(relay,entry): log each decision on a retry; count attempts by service

A line tells why a request was sent again or not: the upstream, the time left, the balance of the service's retry budget. Two counters by service give the share of retries over all VMs, which the rule BUDGET bounds.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -180,10 +180,13 @@
 	return e.budget.Decide(now, a, names...)
 }
 
-// creditBudgets credits each of the named retry budgets for the first attempt of a
-// call.
-func (e *Entry) creditBudgets(names ...string) {
+// creditBudgets credits the retry budgets of a caller and a service for the first
+// attempt of a call, and returns their names.
+func (e *Entry) creditBudgets(caller, service string) []string {
+	names := []string{"caller " + caller, "service " + service}
+	e.config.Metrics.FirstAttempt(service)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.budget.Deposit(names...)
+	return names
 }
--- a/internal/entry/invoke.go
+++ b/internal/entry/invoke.go
@@ -81,8 +81,7 @@
 // invokeIdempotent runs a call that may be repeated. Each attempt goes to the next
 // of the service's upstreams.
 func (e *Entry) invokeIdempotent(ctx context.Context, c PlainCall, content crash.Fingerprint, revision *docs.Revision, deadline time.Time) (*PlainAnswer, *Refusal) {
-	budgets := []string{"caller " + c.Caller, "service " + c.Service}
-	e.creditBudgets(budgets...)
+	budgets := e.creditBudgets(c.Caller, c.Service)
 	addresses := keeper.Upstreams(revision, e.NewID())
 	sent := false
 	for number := 1; ; number++ {
@@ -97,6 +96,7 @@
 		switch d := e.nextAttempt(time.Now(), attempt, budgets...).(type) {
 		case retry.TryAgain:
 			e.config.Metrics.Retried(UpstreamsDown)
+			e.config.Metrics.FurtherAttempt(c.Service)
 			delay.Wait(ctx, d.After)
 		case retry.GiveUp:
 			e.config.Metrics.GaveUp(string(d.Reason))
@@ -128,8 +128,7 @@
 		FirstAttempt: c.FirstAttempt,
 		Deadline:     deadline,
 	}
-	budgets := []string{"caller " + c.Caller, "service " + c.Service}
-	e.creditBudgets(budgets...)
+	budgets := e.creditBudgets(c.Caller, c.Service)
 	for number := 1; ; number++ {
 		answer, err := e.invokeKeeper(ctx, r)
 		if err == nil {
@@ -143,6 +142,7 @@
 		switch d := e.nextAttempt(time.Now(), attempt, budgets...).(type) {
 		case retry.TryAgain:
 			e.config.Metrics.Retried(KeeperTimeout)
+			e.config.Metrics.FurtherAttempt(c.Service)
 			delay.Wait(ctx, d.After)
 		case retry.GiveUp:
 			e.config.Metrics.GaveUp(string(d.Reason))
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -87,7 +87,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, m.deadline)
 	defer cancel()
-	e.creditBudgets(m.budgets()...)
+	m.budgets = e.creditBudgets(c.Caller, c.Service)
 	return m.run(ctx)
 }
 
@@ -102,6 +102,7 @@
 	emit     Emit            // nil if collect is set
 	tried    map[string]bool // engines on which an attempt failed
 	deadline time.Time
+	budgets  []string        // names of the retry budgets
 	engine   string          // engine of the current attempt
 	text     strings.Builder // collected answer
 	received int             // tokens received
@@ -109,10 +110,6 @@
 	emitErr  error           // error of emit; the caller is gone
 }
 
-func (m *modelRun) budgets() []string {
-	return []string{"caller " + m.call.Caller, "service " + m.call.Service}
-}
-
 // run makes attempts until one returns the complete answer or no further attempt
 // is allowed.
 func (m *modelRun) run(ctx context.Context) (*ModelAnswer, *Refusal) {
@@ -131,10 +128,11 @@
 			Free:     ownershipChange(result.Reason),
 			Final:    m.final(ctx, result.Reason),
 			Deadline: m.deadline,
-		}, m.budgets()...)
+		}, m.budgets...)
 		switch d := decision.(type) {
 		case retry.TryAgain:
 			m.entry.config.Metrics.Retried(string(result.Reason))
+			m.entry.config.Metrics.FurtherAttempt(m.call.Service)
 			if !delay.Wait(ctx, d.After) {
 				return nil, m.refusal(owner.Canceled, result.RetryAfter)
 			}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -26,6 +26,12 @@
 // Retried counts a retry of a request, by the reason of the preceding failure.
 func (s *Set) Retried(reason string) { s.count("retries", "reason", reason) }
 
+// FirstAttempt counts a request that is sent to a service.
+func (s *Set) FirstAttempt(service string) { s.count("first_attempts", "service", service) }
+
+// FurtherAttempt counts a retry that is sent to a service.
+func (s *Set) FurtherAttempt(service string) { s.count("further_attempts", "service", service) }
+
 // GaveUp counts a failed request, or a retry that was not allowed, by its reason.
 func (s *Set) GaveUp(reason string) { s.count("gave_up", "reason", reason) }
 
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -66,7 +66,7 @@
 		}
 		tried[u.ID] = true
 		x.mayHaveRun = x.mayHaveRun || !r.notRun
-		if r.outcome == health.Success || !x.shouldResend(r) {
+		if r.outcome == health.Success || !x.shouldResend(u, r) {
 			x.finish(u, r)
 			return
 		}
@@ -137,7 +137,7 @@
 
 // shouldResend reports whether to send a request again after a failed send. If so,
 // it charges the retry budget, unless no byte of the request reached the upstream.
-func (x *exchange) shouldResend(r result) bool {
+func (x *exchange) shouldResend(u roster.Upstream, r result) bool {
 	if x.ctxDone() {
 		return false
 	}
@@ -147,7 +147,7 @@
 	if !r.notRun && (!x.route.Retryable() || x.sends >= x.route.MaxAttempts) {
 		return false
 	}
-	return x.sends < maxSends && x.allowRetry(r.reason)
+	return x.sends < maxSends && x.allowRetry(u.ID, r.reason)
 }
 
 // finish answers the caller with the result of the last send.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -269,19 +269,29 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.budget.Deposit(x.service.Name)
+	x.config.Metrics.FirstAttempt(x.service.Name)
 }
 
 // allowRetry reports whether the retry budget and the deadline allow another
-// attempt. If they do, it charges the budget for this attempt.
-func (x *exchange) allowRetry(reason string) bool {
+// attempt after one at an upstream. If they do, it charges the budget for it.
+func (x *exchange) allowRetry(upstream, reason string) bool {
+	now := time.Now()
 	x.mu.Lock()
-	decision := x.budget.Decide(time.Now(), retry.Attempt{Number: 1, Deadline: x.deadline}, x.service.Name)
+	decision := x.budget.Decide(now, retry.Attempt{Number: 1, Deadline: x.deadline}, x.service.Name)
+	balance := x.budget.Balance(x.service.Name)
 	x.mu.Unlock()
+	fields := []zap.Field{
+		zap.String("request", x.call.ID), zap.String("service", x.service.Name), zap.String("upstream", upstream),
+		zap.String("reason", reason), zap.Int("sends", x.sends), zap.Duration("left", x.deadline.Sub(now)), zap.Float64("balance", balance),
+	}
 	if giveUp, ok := decision.(retry.GiveUp); ok {
 		x.config.Metrics.GaveUp(string(giveUp.Reason))
+		x.config.Logger.Info("relay: not sent again", append(fields, zap.String("limit", string(giveUp.Reason)))...)
 		return false
 	}
 	x.config.Metrics.Retried(reason)
+	x.config.Metrics.FurtherAttempt(x.service.Name)
+	x.config.Logger.Info("relay: sent again", fields...)
 	return true
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -133,7 +133,7 @@
 // true.
 func (x *exchange) retryElsewhere(slot *Slot, e *link.Exchange) bool {
 	x.mayHaveRun = true
-	if !x.retryable() || !x.allowRetry("engine failed") {
+	if !x.retryable() || !x.allowRetry(slot.Upstream.ID, "engine failed") {
 		return false
 	}
 	e.Close(time.Now(), false)
@@ -170,7 +170,7 @@
 		x.fail(http.StatusGatewayTimeout, "deadline passed at engine")
 		return false
 	}
-	if x.retryable() && x.allowRetry("engine did not answer") {
+	if x.retryable() && x.allowRetry(slot.Upstream.ID, "engine did not answer") {
 		return true
 	}
 	x.fail(http.StatusBadGateway, "engine did not answer")
@@ -183,7 +183,7 @@
 	x.config.Logger.Info("relay: engine did not run it", zap.String("request", x.call.ID),
 		zap.String("upstream", slot.Upstream.ID), zap.Int("status", status), zap.Int64("adapter", slot.AdapterVersion))
 	slot.Release(engine.NotRun)
-	if x.ctxDone() || x.sends >= maxSends || !x.allowRetry("engine did not run it") {
+	if x.ctxDone() || x.sends >= maxSends || !x.allowRetry(slot.Upstream.ID, "engine did not run it") {
 		x.refuse("engine did not run it", retryAfter)
 		return false
 	}
@@ -206,7 +206,7 @@
 		return false
 	}
 	slot.Release(engine.Failed)
-	if x.retryable() && x.allowRetry(reason) {
+	if x.retryable() && x.allowRetry(slot.Upstream.ID, reason) {
 		return true
 	}
 	x.fail(http.StatusBadGateway, reason)
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -35,12 +35,12 @@
 		if len(b.tokens) >= b.config.MaxNames {
 			clear(b.tokens)
 		}
-		b.tokens[name] = min(b.balance(name)+b.config.Ratio, b.config.Burst)
+		b.tokens[name] = min(b.Balance(name)+b.config.Ratio, b.config.Burst)
 	}
 }
 
-// balance returns the number of tokens of a name: Config.Burst if none is stored.
-func (b *Budget) balance(name string) float64 {
+// Balance returns the number of tokens of a name: Config.Burst if none is stored.
+func (b *Budget) Balance(name string) float64 {
 	if t, ok := b.tokens[name]; ok {
 		return t
 	}
@@ -101,12 +101,12 @@
 		return TryAgain{After: backoff}
 	}
 	for _, name := range names {
-		if b.balance(name) < 1 {
+		if b.Balance(name) < 1 {
 			return GiveUp{Reason: BudgetExhausted}
 		}
 	}
 	for _, name := range names {
-		b.tokens[name] = b.balance(name) - 1
+		b.tokens[name] = b.Balance(name) - 1
 	}
 	return TryAgain{After: backoff}
 }
