fix(retry,edge,entry): a process starts without retries, and uses its part of the limit

Cause: a limit over all VMs was kept as a full bucket (4 tokens, 20 on the own interface) in each process, so each start and each VM added to it, and the slack of the settings was read by nothing.

A retry of a call that has reached no upstream costs nothing, as it is the first arrival. Changed bounds hold without a restart.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -39,6 +39,7 @@
 	c.keys(s)
 	checkRange(c, "limits.attempts", s.Limits.MaxAttempts, 1, 16)
 	checkRange(c, "limits.retries", s.Limits.RetryRatio, 0, 1)
+	checkRange(c, "limits.slack", s.Limits.RetrySlack, 0, 1_000_000)
 	checkRange(c, "limits.calls", s.Limits.MaxCalls, 1, 1_000_000)
 	checkRange(c, "limits.queue", s.Limits.MaxQueue, 1, 1_000_000)
 	checkRange(c, "limits.silence", s.Limits.ProgressTimeout, 100*time.Millisecond, time.Minute)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -79,7 +79,8 @@
 // Limits bounds retries, queues and waiting times.
 type Limits struct {
 	MaxAttempts     int           `yaml:"attempts"` // maximum attempts of one call
-	RetryRatio      float64       `yaml:"retries"`  // retry budget: retries allowed per first attempt
+	RetryRatio      float64       `yaml:"retries"`  // retries of a service, or of a caller, allowed per first attempt, over all VMs
+	RetrySlack      float64       `yaml:"slack"`    // further retries allowed in 10 seconds, over all VMs
 	MaxCalls        int           `yaml:"calls"`    // maximum calls in progress
 	MaxQueue        int           `yaml:"queue"`    // maximum requests waiting at an engine
 	ProgressTimeout time.Duration `yaml:"silence"`  // time without progress after which a connection is abandoned
@@ -115,6 +116,7 @@
 		Limits: Limits{
 			MaxAttempts:     4,
 			RetryRatio:      0.2,
+			RetrySlack:      60,
 			MaxCalls:        2000,
 			MaxQueue:        512,
 			ProgressTimeout: 2 * time.Second,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,9 +48,9 @@
 	dialTimeout       = time.Second     // limit for connecting to a plain service
 	firstRetryPause   = 20 * time.Millisecond
 	maxRetryPause     = 400 * time.Millisecond
-	retryBurst        = 20          // maximum retries saved up in a retry budget
-	maxRetryBudgets   = 10_000      // maximum callers and services with a retry budget in memory
-	lingerMargin      = time.Second // a leaving VM answers for Limits.AddressTTL plus this margin, as callers may have its address cached
+	retryWindow       = 10 * time.Second // time for which the settings limit retries
+	maxRetryBudgets   = 10_000           // maximum callers and services with a retry budget in memory
+	lingerMargin      = time.Second      // a leaving VM answers for Limits.AddressTTL plus this margin, as callers may have its address cached
 	drainPoll         = 100 * time.Millisecond
 )
 
@@ -131,12 +131,11 @@
 		Metrics:  metrics,
 		Retry: retry.Config{
 			MaxAttempts: s.Limits.MaxAttempts,
-			Ratio:       s.Limits.RetryRatio,
-			Burst:       retryBurst,
 			Backoff:     firstRetryPause,
 			MaxBackoff:  maxRetryPause,
 			MaxNames:    maxRetryBudgets,
 		},
+		RetryLimit: retry.Limit{Ratio: s.Limits.RetryRatio, Slack: s.Limits.RetrySlack, Window: retryWindow},
 		Partitions: s.Keys.Partitions,
 		Boot:       boot,
 	})
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -163,6 +163,7 @@
 	claimAfter      time.Time // time before which no claim is written, after a failed attempt
 	leaving         bool
 	started         time.Time
+	mostHeard       int       // largest number of VMs that this VM has heard of at a time, this one included
 	aloneSince      time.Time // time since which no other live VM is known
 	claimCheckedAt  time.Time // time of the last check for engines to claim
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -8,6 +8,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -95,7 +96,7 @@
 	v.control = c
 	v.handler = relay.New(relay.Config{
 		Zone: s.Zone, View: c.view.Load, Reserver: c.dispatcher, Pool: v.pool, Metrics: v.metrics, Logger: v.logger,
-		Retries:      retry.Config{MaxAttempts: 2, Ratio: retryShare * s.Bounds.RetryShare, Burst: retryBurst, MaxNames: 1000},
+		Retries:      retry.Config{MaxAttempts: 2, MaxNames: 1000},
 		CrashTracker: crashTracker{control: c}, Health: health.Config{MaxFailures: 3, Ejection: 500 * time.Millisecond, MaxEjection: 2 * time.Second, LocalLimit: 3},
 	})
 	if err := v.listen(); err != nil {
@@ -123,15 +124,16 @@
 	return nil
 }
 
-const (
-	// retryShare is the part of the platform's retry budget (Bounds.RetryShare)
-	// that the VMs use. The rest is a reserve for requests that an engine reported
-	// as not executed. The retries of such requests are charged to the VM's own
-	// part too.
-	retryShare = 0.6
-	// retryBurst is the number of unused retries that a VM may accumulate.
-	retryBurst = 4
-)
+// defaultRetryLimit applies on a platform that states no limit on retries.
+var defaultRetryLimit = retry.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
+
+// retryLimit returns the platform's limit on the retries of all VMs together.
+func retryLimit(b platform.Bounds) retry.Limit {
+	if b.RetryShare == 0 && b.RetrySlack == 0 {
+		return defaultRetryLimit
+	}
+	return retry.Limit{Ratio: b.RetryShare, Slack: b.RetrySlack, Window: cmp.Or(b.RetryTime, defaultRetryLimit.Window)}
+}
 
 func (v *VM) newControl(s platform.Settings, self gossip.VM, peers *transport) *control {
 	c := &control{
--- a/internal/edge/publish.go
+++ b/internal/edge/publish.go
@@ -4,6 +4,7 @@
 	"github.com/tanagerlb/tanagerlb/internal/relay"
 	"github.com/tanagerlb/tanagerlb/pkg/engine"
 	"github.com/tanagerlb/tanagerlb/pkg/gossip"
+	"github.com/tanagerlb/tanagerlb/pkg/retry"
 	"github.com/tanagerlb/tanagerlb/pkg/roster"
 	"github.com/tanagerlb/tanagerlb/pkg/route"
 )
@@ -54,8 +55,26 @@
 	return engineGroups
 }
 
+// fleetSize returns the number of VMs that divide the retry budget, or 0 if this VM does
+// not know the fleet yet. VMs that are cut off from this one, or that have just died,
+// count too: they may be sending requests, or have done so a moment ago.
+func (c *control) fleetSize() int {
+	if c.fleetEnd < 0 {
+		return 0
+	}
+	size, heard := 1, 1
+	for _, m := range c.gossip.Members() {
+		size++
+		if m.Status != gossip.Listed {
+			heard++
+		}
+	}
+	c.mostHeard = max(c.mostHeard, heard)
+	return max(c.mostHeard, size)
+}
+
 func (c *control) publish() {
-	view := &relay.View{Table: c.table, Upstreams: c.roster.Serving(), UpstreamIDs: map[string][]string{}}
+	view := &relay.View{Table: c.table, Upstreams: c.roster.Serving(), UpstreamIDs: map[string][]string{}, Retries: retry.Share{Limit: retryLimit(c.settings.Bounds), VMs: c.fleetSize()}}
 	for service, list := range view.Upstreams {
 		ids := make([]string, len(list))
 		for i, u := range list {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,23 +50,25 @@
 	Services   plain.Services // runs idempotent calls
 	Metrics    *metric.Set
 	Retry      retry.Config
-	Partitions int    // number of partitions of the idempotency keys; the log has one stream for each
-	Boot       string // incarnation of this VM's process: an ID that is new after each start
+	RetryLimit retry.Limit // limit on the retries of a service or caller, over all VMs
+	Partitions int         // number of partitions of the idempotency keys; the log has one stream for each
+	Boot       string      // incarnation of this VM's process: an ID that is new after each start
 }
 
 // Entry runs the calls of the callers that are connected to this VM.
 type Entry struct {
 	config   Config
-	mu       sync.Mutex      // guards fallback and budget
+	mu       sync.Mutex      // guards fallback, budget and mostVMs
 	fallback *place.Fallback // chooses engines while a directory does not answer
 	budget   *retry.Budget
+	mostVMs  int           // largest number of live VMs seen; VMs that are cut off may go on sending requests
 	serial   atomic.Uint64 // last number used in an ID
 	active   atomic.Int64  // calls in progress
 }
 
 // New returns an Entry that has recorded no failed engines and no retries.
 func New(c Config) *Entry {
-	return &Entry{config: c, fallback: place.NewFallback(), budget: retry.New(c.Retry)}
+	return &Entry{config: c, fallback: place.NewFallback(), budget: retry.New(time.Now(), c.Retry)}
 }
 
 // Active returns the number of calls in progress.
@@ -185,8 +187,11 @@
 func (e *Entry) creditBudgets(caller, service string) []string {
 	names := []string{"caller " + caller, "service " + service}
 	e.config.Metrics.FirstAttempt(service)
+	now, vms := time.Now(), len(e.config.View().Live)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.budget.Deposit(names...)
+	e.mostVMs = max(e.mostVMs, vms)
+	e.budget.Divide(now, retry.Share{Limit: e.config.RetryLimit, VMs: e.mostVMs})
+	e.budget.Deposit(now, names...)
 	return names
 }
--- a/internal/entry/invoke.go
+++ b/internal/entry/invoke.go
@@ -92,11 +92,13 @@
 			return &PlainAnswer{Reply: keys.Reply(reply)}, nil
 		}
 		sent = sent || !errors.Is(err, plain.ErrNotSent)
-		attempt := retry.Attempt{Number: number, Final: ctx.Err() != nil, Deadline: deadline}
+		attempt := retry.Attempt{Number: number, Unsent: !sent, Final: ctx.Err() != nil, Deadline: deadline}
 		switch d := e.nextAttempt(time.Now(), attempt, budgets...).(type) {
 		case retry.TryAgain:
 			e.config.Metrics.Retried(UpstreamsDown)
-			e.config.Metrics.FurtherAttempt(c.Service)
+			if sent {
+				e.config.Metrics.FurtherAttempt(c.Service)
+			}
 			delay.Wait(ctx, d.After)
 		case retry.GiveUp:
 			e.config.Metrics.GaveUp(string(d.Reason))
@@ -142,7 +144,6 @@
 		switch d := e.nextAttempt(time.Now(), attempt, budgets...).(type) {
 		case retry.TryAgain:
 			e.config.Metrics.Retried(KeeperTimeout)
-			e.config.Metrics.FurtherAttempt(c.Service)
 			delay.Wait(ctx, d.After)
 		case retry.GiveUp:
 			e.config.Metrics.GaveUp(string(d.Reason))
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -126,13 +126,16 @@
 		decision := m.entry.nextAttempt(time.Now(), retry.Attempt{
 			Number:   number,
 			Free:     ownershipChange(result.Reason),
+			Unsent:   !m.ran,
 			Final:    m.final(ctx, result.Reason),
 			Deadline: m.deadline,
 		}, m.budgets...)
 		switch d := decision.(type) {
 		case retry.TryAgain:
 			m.entry.config.Metrics.Retried(string(result.Reason))
-			m.entry.config.Metrics.FurtherAttempt(m.call.Service)
+			if m.ran {
+				m.entry.config.Metrics.FurtherAttempt(m.call.Service)
+			}
 			if !delay.Wait(ctx, d.After) {
 				return nil, m.refusal(owner.Canceled, result.RetryAfter)
 			}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -36,6 +36,7 @@
 	Table       *route.Table                 // nil before the first configuration
 	Upstreams   map[string][]roster.Upstream // available upstreams by service, sorted by id
 	UpstreamIDs map[string][]string          // ids of the upstreams in Upstreams, in the same order
+	Retries     retry.Share                  // this VM's share of the limit on retries
 	ByModel     map[string]map[string]Group  // engines that have a base model loaded, by service and model; only for services with several base models
 }
 
@@ -107,7 +108,7 @@
 
 // New returns a handler that has not yet recorded the results of any upstream.
 func New(c Config) *Handler {
-	return &Handler{config: c, tracker: health.New(c.Health), budget: retry.New(c.Retries), lifeSigns: lifeSigns{started: time.Now(), at: map[string]*lifeSign{}}}
+	return &Handler{config: c, tracker: health.New(c.Health), budget: retry.New(time.Now(), c.Retries), lifeSigns: lifeSigns{started: time.Now(), at: map[string]*lifeSign{}}}
 }
 
 // StartDrain makes the handler close the caller's connection after each further
@@ -266,10 +267,15 @@
 // creditBudget adds to the service's retry budget. It is called once for each
 // request, before the first attempt.
 func (x *exchange) creditBudget() {
+	x.config.Metrics.FirstAttempt(x.service.Name)
+	now := time.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.budget.Deposit(x.service.Name)
-	x.config.Metrics.FirstAttempt(x.service.Name)
+	if x.budget.Divide(now, x.view.Retries) {
+		x.config.Logger.Info("relay: share of the retry budget changed", zap.Int("vms", x.view.Retries.VMs),
+			zap.Float64("ratio", x.view.Retries.Limit.Ratio), zap.Float64("slack", x.view.Retries.Limit.Slack))
+	}
+	x.budget.Deposit(now, x.service.Name)
 }
 
 // allowRetry reports whether the retry budget and the deadline allow another
@@ -278,7 +284,7 @@
 	now := time.Now()
 	x.mu.Lock()
 	decision := x.budget.Decide(now, retry.Attempt{Number: 1, Deadline: x.deadline}, x.service.Name)
-	balance := x.budget.Balance(x.service.Name)
+	balance := x.budget.Balance(now, x.service.Name)
 	x.mu.Unlock()
 	fields := []zap.Field{
 		zap.String("request", x.call.ID), zap.String("service", x.service.Name), zap.String("upstream", upstream),
