fix(edge): a process starts without a burst of loads of base models

A process starts with a random part of one load, which keeps the mean rate in a series of restarts; a limiter whose VMs change is divided anew instead of replaced; VMs that are only listed count.

--- a/internal/edge/limiter.go
+++ b/internal/edge/limiter.go
@@ -19,27 +19,37 @@
 // Bounds.Overshoot times as many loads as the weight store's rate gives for
 // that period. The VMs do not coordinate: each takes an equal part of the rate,
 // and a burst so small that the bound holds even if all VMs use their bursts at
-// once. If that burst is less than one load, the VM's first load is delayed by
-// a random part of the interval between its loads.
+// once. A process starts with a random part of one load and no burst: its last
+// process may have used that.
 type loadLimiter struct {
 	limiter *rate.Limiter
 	loads   float64 // rate of the weight store, in loads per second
 	vms     int     // number of VMs that divide the rate
 }
 
-// newLoadLimiter returns the limiter of one of several VMs. loads is the rate
-// of the weight store, in loads per second. phase, from 0 to 1, is the part of
-// the first interval that counts as already passed at now; it only matters if
-// the burst is less than one load.
-func newLoadLimiter(now time.Time, loads float64, vms int, b platform.Bounds, phase float64) *loadLimiter {
+// newLoadLimiter returns the limiter of one of several VMs, whose process started at a
+// time. loads is the rate of the weight store, in loads per second. phase, from 0 to 1,
+// is the part of the first load that the process starts with.
+func newLoadLimiter(started time.Time, loads float64, vms int, b platform.Bounds, phase float64) *loadLimiter {
+	interval, burst := loadShare(loads, vms, b)
+	l := &loadLimiter{limiter: rate.NewLimiter(rate.Every(interval), burst), loads: loads, vms: vms}
+	l.limiter.AllowN(started.Add(-time.Duration(phase*float64(interval))), burst)
+	return l
+}
+
+// loadShare returns the interval between the loads of one of several VMs, and its burst.
+func loadShare(loads float64, vms int, b platform.Bounds) (time.Duration, int) {
 	interval := time.Duration(float64(vms) / (storeRateShare * loads) * float64(time.Second))
 	fleetBurst := loads*b.LoadTime.Seconds()*(b.Overshoot-storeRateShare) + overshootSlack
-	burst := int(fleetBurst / float64(vms))
-	l := &loadLimiter{limiter: rate.NewLimiter(rate.Every(interval), max(burst, 1)), loads: loads, vms: vms}
-	if burst == 0 {
-		l.limiter.AllowN(now.Add(-time.Duration(phase*float64(interval))), 1)
-	}
-	return l
+	return interval, max(int(fleetBurst/float64(vms)), 1)
+}
+
+// divide sets the rate of the weight store and the number of VMs that divide it.
+func (l *loadLimiter) divide(now time.Time, loads float64, vms int, b platform.Bounds) {
+	interval, burst := loadShare(loads, vms, b)
+	l.limiter.SetLimitAt(now, rate.Every(interval))
+	l.limiter.SetBurstAt(now, burst)
+	l.loads, l.vms = loads, vms
 }
 
 // overshootSlack is how many loads the platform tolerates in addition to its
@@ -53,11 +63,14 @@
 	if s == nil || s.Engine == nil || s.Engine.LoadRate <= 0 {
 		return true
 	}
-	vms := len(c.directory.Load().vms)
+	vms := max(c.fleetSize(), 1)
 	l, ok := c.loadLimiters[service]
-	if !ok || l.loads != s.Engine.LoadRate || l.vms < vms {
-		l = newLoadLimiter(now, s.Engine.LoadRate, max(vms, 1), c.settings.Bounds, rand.Float64()) //nolint:gosec // only spreads load
+	switch {
+	case !ok:
+		l = newLoadLimiter(c.started, s.Engine.LoadRate, vms, c.settings.Bounds, rand.Float64()) //nolint:gosec // only spreads load
 		c.loadLimiters[service] = l
+	case l.loads != s.Engine.LoadRate || l.vms < vms:
+		l.divide(now, s.Engine.LoadRate, max(vms, l.vms), c.settings.Bounds)
 	}
 	return l.limiter.AllowN(now, 1)
 }
--- a/internal/edge/publish.go
+++ b/internal/edge/publish.go
@@ -55,8 +55,8 @@
 	return engineGroups
 }
 
-// fleetSize returns the number of VMs that divide the retry budget, or 0 if this VM does
-// not know the fleet yet. VMs that are cut off from this one, or that have just died,
+// fleetSize returns the number of VMs that divide the limits on all VMs together, or 0 if
+// this VM does not know the fleet yet. VMs that are cut off from this one, or that have just died,
 // count too: they may be sending requests, or have done so a moment ago.
 func (c *control) fleetSize() int {
 	if c.fleetEnd < 0 {
