--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -133,6 +134,7 @@
 			MaxAttempts: s.Limits.MaxAttempts,
 			Backoff:     firstRetryPause,
 			MaxBackoff:  maxRetryPause,
+			Phase:       mathrand.Float64(), //nolint:gosec // only spreads retries
 			MaxNames:    maxRetryBudgets,
 		},
 		RetryLimit: retry.Limit{Ratio: s.Limits.RetryRatio, Slack: s.Limits.RetrySlack, Window: retryWindow},
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -13,6 +13,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -96,7 +97,7 @@
 	v.control = c
 	v.handler = relay.New(relay.Config{
 		Zone: s.Zone, View: c.view.Load, Reserver: c.dispatcher, Pool: v.pool, Metrics: v.metrics, Logger: v.logger,
-		Retries:      retry.Config{MaxAttempts: 2, MaxNames: 1000},
+		Retries:      retry.Config{MaxAttempts: 2, Phase: rand.Float64(), MaxNames: 1000}, //nolint:gosec // only spreads retries
 		CrashTracker: crashTracker{control: c}, Health: health.Config{MaxFailures: 3, Ejection: 500 * time.Millisecond, MaxEjection: 2 * time.Second, LocalLimit: 3},
 	})
 	if err := v.listen(); err != nil {
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -24,6 +24,7 @@
 	MaxAttempts int           // maximum number of attempts of one call
 	Backoff     time.Duration // backoff before the second attempt; doubled for each further one
 	MaxBackoff  time.Duration // maximum backoff
+	Phase       float64       // tokens that each name starts with, random between 0 and 1: so restarts in series leave the mean number of retries as it is
 	MaxNames    int           // maximum number of names whose tokens are stored; beyond it, all names start again without tokens
 }
 
@@ -38,13 +39,14 @@
 // Budget limits the retries of one VM to its Share, separately for each name, such as a
 // caller or a service. A retry costs one token of each name that is given for the call.
 //
-// A VM gets tokens for first attempts and with time, and starts without any: its last
-// process, and the VMs that it doesn't know yet, may have spent all that the Limit
+// A VM gets tokens for first attempts and with time, and starts with less than one: its
+// last process, and the VMs that it doesn't know yet, may have spent all that the Limit
 // allows. The methods must not be called concurrently.
 type Budget struct {
 	config   Config
 	share    Share
 	since    time.Time // time from which on names without an account get tokens
+	initial  float64   // tokens that they have then
 	accounts map[string]account
 }
 
@@ -54,9 +56,9 @@
 	at     time.Time
 }
 
-// New returns a budget without tokens, which gets none before the first call of Divide.
+// New returns a budget that gets no tokens before the first call of Divide.
 func New(now time.Time, c Config) *Budget {
-	return &Budget{config: c, since: now, accounts: map[string]account{}}
+	return &Budget{config: c, since: now, initial: c.Phase, accounts: map[string]account{}}
 }
 
 // Divide sets the share from now on, and reports whether it has changed. As long as the
@@ -97,7 +99,7 @@
 func (b *Budget) account(now time.Time, name string) account {
 	a, ok := b.accounts[name]
 	if !ok {
-		a = account{at: b.since}
+		a = account{tokens: b.initial, at: b.since}
 	}
 	if elapsed := now.Sub(a.at); elapsed > 0 {
 		a = account{tokens: a.tokens + b.rate()*elapsed.Seconds(), at: now}
@@ -110,7 +112,7 @@
 func (b *Budget) add(now time.Time, name string, tokens float64) {
 	if _, ok := b.accounts[name]; !ok && len(b.accounts) >= b.config.MaxNames {
 		clear(b.accounts)
-		b.since = now
+		b.since, b.initial = now, 0
 	}
 	a := b.account(now, name)
 	a.tokens = min(a.tokens+tokens, b.maxTokens())
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -16,8 +16,10 @@
 	limit = retry.Limit{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}
 )
 
-func newBudget(now time.Time, vms int) *retry.Budget {
-	b := retry.New(now, retry.Config{MaxAttempts: 2, MaxNames: 3})
+func newBudget(now time.Time, vms int) *retry.Budget { return newBudgetAt(now, vms, 0) }
+
+func newBudgetAt(now time.Time, vms int, phase float64) *retry.Budget {
+	b := retry.New(now, retry.Config{MaxAttempts: 2, Phase: phase, MaxNames: 3})
 	b.Divide(now, retry.Share{Limit: limit, VMs: vms})
 	return b
 }
@@ -50,7 +52,7 @@
 			random := rand.New(rand.NewPCG(1, 1))
 			budgets := make([]*retry.Budget, c.vms)
 			for i := range budgets {
-				budgets[i] = newBudget(start, c.vms)
+				budgets[i] = newBudgetAt(start, c.vms, random.Float64())
 			}
 			const step = time.Millisecond
 			var requests, retries []time.Time
@@ -60,7 +62,7 @@
 					next = now.Add(time.Duration(2 * random.Float64() * float64(c.restart)))
 					for i := range budgets {
 						if c.all || i == random.IntN(c.vms) {
-							budgets[i] = newBudget(now, c.vms)
+							budgets[i] = newBudgetAt(now, c.vms, random.Float64())
 						}
 					}
 				}
