fix(edge): each VM counts all crashes under requests; any VM saves what the store lacks

Cause: two VMs kept count for each request, chosen by rendezvous order from the VMs that the reporter knew. One that had just started knew few, so it reported to others than the VMs before it; each pair had less than three, and neither wrote its count to the store, as in its own view it was not its task. A record was taken as up to date by the number of runs in it, so that two pairs could also replace each other's.

TestCrashesSeenByAVMThatHasJustStartedAreCounted failed before, the tests beside it with it. A first crash is logged at level debug, as each VM counts it.

--- a/internal/edge/bench_test.go
+++ b/internal/edge/bench_test.go
@@ -119,3 +119,29 @@
 		})
 	}
 }
+
+// BenchmarkCrashReport measures what one report of crashes that a VM receives costs,
+// with the tick that follows, by the number of requests that are remembered.
+func BenchmarkCrashReport(b *testing.B) {
+	for _, remembered := range []int{100, 1000, 10_000} {
+		b.Run(strconv.Itoa(remembered), func(b *testing.B) {
+			c := loneVM()
+			for i := range remembered {
+				c.recordCrashes(start, []crashRun{{Fingerprint: crash.Fingerprint(i + 1), ID: uint64(i + 1), Upstream: "e"}})
+			}
+			next := uint64(remembered)
+			for b.Loop() {
+				runs := make([]crashRun, packetRuns)
+				for i := range runs {
+					next++
+					runs[i] = crashRun{Fingerprint: crash.Fingerprint(next%uint64(remembered) + 1), ID: next, Upstream: strconv.FormatUint(next, 10)}
+				}
+				for _, r := range runs { // two crashes at most, as most requests have
+					c.poison.tracker.Clear(r.Fingerprint)
+				}
+				c.recordCrashes(start, runs)
+				c.expirePoison(start)
+			}
+		})
+	}
+}
--- a/internal/edge/crash_records.go
+++ b/internal/edge/crash_records.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"github.com/tanagerlb/tanagerlb/pkg/crash"
-	"github.com/tanagerlb/tanagerlb/pkg/rank"
 	"github.com/tanagerlb/tanagerlb/platform"
 )
 
@@ -20,6 +19,12 @@
 	savedCrashes = 2
 	// reviewInterval is the time between checks of what is to be saved.
 	reviewInterval = time.Second
+	// saveGrace is how long the store may lack crashes under a request before a VM saves
+	// them that is not to save them: two reads of the fleet topic.
+	saveGrace = 2 * fleetInterval
+	// saveBackoff is the time between two attempts to save while the store does not
+	// respond.
+	saveBackoff = 2 * time.Second
 )
 
 // crashRecord is the value of a record of the fleet topic: the crashes under a request.
@@ -30,7 +35,7 @@
 
 // crashesSaved is the result of writing crashRecords.
 type crashesSaved struct {
-	saved map[crash.Fingerprint]int // number of runs written, by request
+	saved map[crash.Fingerprint][]crash.Run // runs written, by request
 	err   error
 }
 
@@ -55,23 +60,24 @@
 		c.logger.Warn("fleet: record is ignored", zap.String("key", keyCrash+text), zap.Error(err))
 		return
 	}
-	runs := make([]crashRun, len(record.Runs))
+	saved, runs := make([]crash.Run, len(record.Runs)), make([]crashRun, len(record.Runs))
 	for i, r := range record.Runs {
-		runs[i] = newCrashRun(now, f, r.Load())
+		saved[i] = r.Load()
+		runs[i] = newCrashRun(now, f, saved[i])
 	}
-	c.poison.saved[f] = len(record.Runs)
+	c.poison.saved[f] = saved
 	c.recordCrashes(now, runs)
 }
 
-// reviewCrashes saves the crashes of which this VM is to keep count and that the store
-// does not have, and drops records that no longer hold.
+// reviewCrashes saves the crashes that the store does not have, and drops records that no
+// longer hold.
 func (c *control) reviewCrashes(ctx context.Context, now time.Time) {
 	if c.poison.saving || now.Before(c.poison.reviewAt) {
 		return
 	}
 	c.poison.reviewAt = now.Add(reviewInterval)
-	j := &saveJob{store: c.store, post: c.post, saved: map[crash.Fingerprint]int{}}
-	for _, f := range c.unsavedCrashes() {
+	j := &saveJob{store: c.store, post: c.post, saved: map[crash.Fingerprint][]crash.Run{}}
+	for _, f := range c.unsavedCrashes(now) {
 		runs := c.poison.tracker.Runs(f)
 		if len(runs) < savedCrashes {
 			runs = nil
@@ -89,7 +95,7 @@
 			}
 			record.Value = encoded
 		}
-		j.records, j.saved[f] = append(j.records, record), len(runs)
+		j.records, j.saved[f] = append(j.records, record), runs
 	}
 	if len(j.records) > 0 {
 		c.poison.saving = true
@@ -97,23 +103,30 @@
 	}
 }
 
-// unsavedCrashes returns the requests of which this VM keeps count and whose crashes
-// differ from what the store has.
-func (c *control) unsavedCrashes() []crash.Fingerprint {
-	differ := map[crash.Fingerprint]bool{}
+// unsavedCrashes returns the requests whose crashes differ from what the store has, and
+// that this VM is to save or no other has saved for a while.
+func (c *control) unsavedCrashes(now time.Time) []crash.Fingerprint {
+	since := map[crash.Fingerprint]time.Time{}
 	for _, f := range c.poison.tracker.Repeated(savedCrashes) {
-		differ[f] = c.poison.saved[f] < len(c.poison.tracker.Runs(f))
+		if len(c.poison.tracker.Unknown(f, c.poison.saved[f])) > 0 {
+			since[f] = now
+		}
 	}
 	for f := range c.poison.saved {
-		differ[f] = differ[f] || len(c.poison.tracker.Runs(f)) < savedCrashes
+		if len(c.poison.tracker.Runs(f)) < savedCrashes {
+			since[f] = now
+		}
 	}
 	var list []crash.Fingerprint
-	names, _ := c.liveVMs()
-	for f, unsaved := range differ {
-		if unsaved && slices.Contains(rank.Top(f.String(), names, tallyVMs), c.self.Name) {
+	for f := range since {
+		if before, ok := c.poison.unsaved[f]; ok {
+			since[f] = before
+		}
+		if now.Sub(since[f]) >= saveGrace || c.savesCrashes(f) {
 			list = append(list, f)
 		}
 	}
+	c.poison.unsaved = since
 	slices.Sort(list)
 	return list
 }
@@ -123,7 +136,7 @@
 	store   *platform.Store
 	post    func(event)
 	records []platform.Record
-	saved   map[crash.Fingerprint]int
+	saved   map[crash.Fingerprint][]crash.Run
 }
 
 func (j *saveJob) run(ctx context.Context) {
@@ -131,17 +144,18 @@
 	j.post(crashesSaved{saved: j.saved, err: err})
 }
 
-func (c *control) noteSaved(e crashesSaved) {
+func (c *control) noteSaved(now time.Time, e crashesSaved) {
 	c.poison.saving = false
 	if e.err != nil {
+		c.poison.reviewAt = now.Add(saveBackoff)
 		c.logger.Info("crash: cannot save the count of a request", zap.Int("requests", len(e.saved)), zap.Error(e.err))
 		return
 	}
 	for f, runs := range e.saved {
 		c.poison.saved[f] = runs
-		if runs == 0 {
+		if len(runs) == 0 {
 			delete(c.poison.saved, f)
 		}
-		c.logger.Info("crash: count is saved", zap.Stringer("print", f), zap.Int("crashes", runs))
+		c.logger.Info("crash: count is saved", zap.Stringer("print", f), zap.Int("crashes", len(runs)))
 	}
 }
--- a/internal/edge/crash_records_test.go
+++ b/internal/edge/crash_records_test.go
@@ -28,7 +28,7 @@
 	if !c.poison.saving {
 		return false
 	}
-	c.noteSaved((<-c.events).(crashesSaved))
+	c.noteSaved(now, (<-c.events).(crashesSaved))
 	return true
 }
 
--- a/internal/edge/packet.go
+++ b/internal/edge/packet.go
@@ -26,6 +26,7 @@
 	CrashReport *crashReport      `msgpack:"x,omitempty"`
 	BlockNotice *blockNotice      `msgpack:"y,omitempty"`
 	ClearNotice *clearNotice      `msgpack:"z,omitempty"`
+	CrashQuery  *crashQuery       `msgpack:"q,omitempty"`
 }
 
 // probe is a failure detector probe, or the reply to one. It carries membership
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -43,9 +43,12 @@
 	// packetRuns bounds the number of runs in one packet, which must fit in a
 	// datagram.
 	packetRuns = 20
-	// tallyVMs is the number of VMs that count the crashes of a request. It is more
+	// tallyVMs is the number of VMs that save the crashes of a request. It is more
 	// than one, so that one of them may fail.
 	tallyVMs = 2
+	// askedVMs is the number of VMs that a starting VM asks for the crashes that they
+	// know of, as datagrams may be lost.
+	askedVMs = 3
 )
 
 // How a VM learns of a crash, in logs and metrics.
@@ -97,7 +100,7 @@
 	return crash.Run{ID: r.ID, Upstream: r.Upstream, Sent: now.Add(-r.Sent), Ended: now.Add(-r.Ended)}
 }
 
-// crashReport tells the VMs that count the crashes of requests of further ones.
+// crashReport tells a VM of crashes under requests.
 type crashReport struct {
 	Runs []crashRun `msgpack:"r"`
 }
@@ -107,26 +110,31 @@
 	Runs []crashRun `msgpack:"r"`
 }
 
-// clearNotice tells the VMs that count the crashes of a request that it ran to its
-// end.
+// crashQuery asks a VM for all crashes under requests that it knows of.
+type crashQuery struct{}
+
+// clearNotice tells a VM that a request ran to its end.
 type clearNotice struct {
 	Fingerprint crash.Fingerprint `msgpack:"f"`
 }
 
-// poison holds what a VM knows of poison requests. Rendezvous hashing assigns
-// each request to tallyVMs VMs, which count the crashes of upstreams under the
-// request for the whole fleet. They keep the count in the store, where all VMs read it,
-// also those that start later. When the count reaches blockThreshold, they also tell
-// the other VMs at once.
+// poison holds what a VM knows of poison requests. Each VM tells all others of the
+// crashes that it sees, and asks some of them for earlier ones when it starts. From
+// savedCrashes on, the crashes under a request are kept in the store too, where all VMs
+// read them. Rendezvous hashing assigns each request to tallyVMs VMs, which save its
+// crashes and tell the others to block it; another VM saves what the store still lacks
+// after saveGrace, as the VMs differ in which others they know.
 type poison struct {
 	tracker  *crash.Tracker
-	pending  map[string][]suspect      // suspects by upstream, until the upstream is known to have crashed
-	runs     int64                     // number of suspects so far
-	outages  map[string]*outage        // upstreams that break off requests
-	crashed  map[string]time.Time      // upstreams that have crashed, and a time before which their last crash was
-	probing  map[string]bool           // upstreams that are being checked
-	saved    map[crash.Fingerprint]int // number of runs in the store's record of each request
-	saving   bool                      // a write to the store is in progress
+	pending  map[string][]suspect              // suspects by upstream, until the upstream is known to have crashed
+	runs     int64                             // number of suspects so far
+	outages  map[string]*outage                // upstreams that break off requests
+	crashed  map[string]time.Time              // upstreams that have crashed, and a time before which their last crash was
+	probing  map[string]bool                   // upstreams that are being checked
+	saved    map[crash.Fingerprint][]crash.Run // runs in the store's record of each request
+	saving   bool                              // a write to the store is in progress
+	unsaved  map[crash.Fingerprint]time.Time   // requests whose record in the store is out of date, and since when
+	asked    map[string]bool                   // VMs that were asked for the crashes that they know of
 	trials   trials
 	reviewAt time.Time // time of the next check of what is to be saved
 	// watched has the requests under which upstreams have crashed or may have, and the
@@ -140,7 +148,7 @@
 		tracker: crash.NewTracker(crash.TrackerConfig{
 			Crashes: blockThreshold, Block: blockTime, MaxBlock: maxBlockTime, TTL: crashTTL, Restart: restartTime, MaxRequests: maxFingerprints,
 		}),
-		pending: map[string][]suspect{}, outages: map[string]*outage{}, crashed: map[string]time.Time{}, probing: map[string]bool{}, saved: map[crash.Fingerprint]int{},
+		pending: map[string][]suspect{}, outages: map[string]*outage{}, crashed: map[string]time.Time{}, probing: map[string]bool{}, saved: map[crash.Fingerprint][]crash.Run{}, unsaved: map[crash.Fingerprint]time.Time{}, asked: map[string]bool{},
 		trials: trials{begun: map[crash.Fingerprint]time.Time{}},
 	}
 	p.watched.Store(&map[crash.Fingerprint]time.Time{})
--- a/internal/edge/scheduling.go
+++ b/internal/edge/scheduling.go
@@ -22,7 +22,9 @@
 	case p.Records != nil:
 		c.applyForwarded(now, p.Records)
 	case p.CrashReport != nil:
-		c.countCrashes(now, p.CrashReport.Runs)
+		c.handleCrashReport(now, r.from, p.CrashReport.Runs)
+	case p.CrashQuery != nil:
+		c.replyCrashes(now, r.from)
 	case p.BlockNotice != nil:
 		c.recordCrashes(now, p.BlockNotice.Runs)
 	case p.ClearNotice != nil:
@@ -53,6 +55,7 @@
 func (c *control) handleProbe(now time.Time, from netip.AddrPort, p *probe) {
 	c.checkBehind(now, p.OperatorOffset)
 	changed := c.gossip.ApplyDirect(now, p.From)
+	c.askForCrashes(p.From.VM)
 	for _, u := range p.Updates {
 		changed = c.gossip.Apply(now, u) || changed
 	}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -60,11 +60,7 @@
 			s.Topics[topic] = append(s.Topics[topic], r)
 		}
 	}
-	for _, f := range c.poison.tracker.Repeated(1) {
-		for _, r := range c.poison.tracker.Runs(f) {
-			s.Crashes = append(s.Crashes, newCrashRun(now, f, r))
-		}
-	}
+	s.Crashes = c.knownCrashes(now)
 	reply <- s
 }
 
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/tanagerlb/tanagerlb/pkg/crash"
+	"github.com/tanagerlb/tanagerlb/pkg/gossip"
 	"github.com/tanagerlb/tanagerlb/pkg/rank"
 	"github.com/tanagerlb/tanagerlb/pkg/roster"
 )
@@ -48,7 +49,7 @@
 	case unreachable:
 		c.noteCrash(now, e.upstream, now, learnedByDial)
 	case crashesSaved:
-		c.noteSaved(e)
+		c.noteSaved(now, e)
 	case requestCompleted:
 		c.noteCompleted(e.fingerprint)
 	default:
@@ -127,8 +128,8 @@
 	}
 }
 
-// reportSuspects reports the requests that broke off at an upstream that has crashed to
-// the VMs that count their crashes.
+// reportSuspects counts the crash of an upstream against the requests that broke off
+// there, and tells all VMs.
 func (c *control) reportSuspects(now time.Time, upstream, learned string) {
 	c.dropOldSuspects(now, upstream)
 	list := c.poison.pending[upstream]
@@ -140,39 +141,93 @@
 	c.metrics.CrashLearned(learned)
 	c.logger.Info("crash: upstream crashed", zap.String("upstream", upstream), zap.String("learned", learned),
 		zap.Int("suspects", len(list)), zap.Duration("after", now.Sub(list[0].run.Ended)))
-	names, live := c.liveVMs()
-	var counted []crashRun
-	reports := map[string][]crashRun{} // by name of the VM that keeps count
+	var runs []crashRun
 	for _, s := range list {
-		run := newCrashRun(now, s.fingerprint, s.run)
-		counted = append(counted, run)
-		for _, name := range rank.Top(s.fingerprint.String(), names, tallyVMs) {
-			reports[name] = append(reports[name], run)
-		}
+		runs = append(runs, newCrashRun(now, s.fingerprint, s.run))
+	}
+	for part := range slices.Chunk(runs, packetRuns) {
+		c.sendToAll(packet{CrashReport: &crashReport{Runs: part}})
 	}
-	c.countCrashes(now, counted)
-	delete(reports, c.self.Name)
-	for name, runs := range reports {
-		for part := range slices.Chunk(runs, packetRuns) {
-			c.transport.send(live[name].Peer, packet{CrashReport: &crashReport{Runs: part}})
+	for _, f := range c.countCrashes(now, runs) {
+		c.sendBlock(now, f)
+	}
+}
+
+// sendToAll sends a packet to all other VMs, also to those that this VM has not heard of
+// yet: it may have just started.
+func (c *control) sendToAll(p packet) {
+	for _, m := range c.gossip.Members() {
+		if m.Status != gossip.Dead {
+			c.transport.send(m.VM.Peer, p)
 		}
 	}
 }
 
-// countCrashes counts crashes against the requests that ran meanwhile, and tells all
-// VMs to block those that reach blockThreshold.
-func (c *control) countCrashes(now time.Time, runs []crashRun) {
+// countCrashes counts crashes against the requests that ran meanwhile, and returns the
+// requests that are blocked because of them.
+func (c *control) countCrashes(now time.Time, runs []crashRun) []crash.Fingerprint {
 	c.poison.reviewAt = time.Time{} // saves the new count with the next tick
-	for _, f := range c.recordCrashes(now, runs) {
-		notice := &blockNotice{}
-		for _, r := range c.poison.tracker.Runs(f) {
-			notice.Runs = append(notice.Runs, newCrashRun(now, f, r))
+	return c.recordCrashes(now, runs)
+}
+
+// handleCrashReport counts crashes that another VM reports. The VMs that are to save the
+// crashes of a request also tell the others to block it, and the reporter, which they may
+// not know yet: it may not know of the earlier crashes.
+func (c *control) handleCrashReport(now time.Time, from netip.AddrPort, runs []crashRun) {
+	for _, f := range c.countCrashes(now, runs) {
+		if c.savesCrashes(f) {
+			c.sendBlock(now, f)
+			c.transport.send(from, packet{BlockNotice: c.newBlockNotice(now, f)})
 		}
-		_, others := c.liveVMs()
-		for _, vm := range others {
-			c.transport.send(vm.Peer, packet{BlockNotice: notice})
+	}
+}
+
+// sendBlock tells all VMs to block a request.
+func (c *control) sendBlock(now time.Time, f crash.Fingerprint) {
+	c.sendToAll(packet{BlockNotice: c.newBlockNotice(now, f)})
+}
+
+func (c *control) newBlockNotice(now time.Time, f crash.Fingerprint) *blockNotice {
+	notice := &blockNotice{}
+	for _, r := range c.poison.tracker.Runs(f) {
+		notice.Runs = append(notice.Runs, newCrashRun(now, f, r))
+	}
+	return notice
+}
+
+// savesCrashes reports whether this VM is one of those that save the crashes under a
+// request, by the VMs that it knows.
+func (c *control) savesCrashes(f crash.Fingerprint) bool {
+	names, _ := c.liveVMs()
+	return slices.Contains(rank.Top(f.String(), names, tallyVMs), c.self.Name)
+}
+
+// askForCrashes asks a VM that has run for longer than this one for the crashes that it
+// knows of, unless enough VMs were asked.
+func (c *control) askForCrashes(vm gossip.VM) {
+	if vm.Boot >= c.self.Boot || len(c.poison.asked) >= askedVMs || c.poison.asked[vm.Name] {
+		return
+	}
+	c.poison.asked[vm.Name] = true
+	c.transport.send(vm.Peer, packet{CrashQuery: &crashQuery{}})
+}
+
+// replyCrashes sends all crashes under requests that this VM knows of.
+func (c *control) replyCrashes(now time.Time, to netip.AddrPort) {
+	for part := range slices.Chunk(c.knownCrashes(now), packetRuns) {
+		c.transport.send(to, packet{CrashReport: &crashReport{Runs: part}})
+	}
+}
+
+// knownCrashes returns all crashes under requests that this VM knows of.
+func (c *control) knownCrashes(now time.Time) []crashRun {
+	var runs []crashRun
+	for _, f := range c.poison.tracker.Repeated(1) {
+		for _, r := range c.poison.tracker.Runs(f) {
+			runs = append(runs, newCrashRun(now, f, r))
 		}
 	}
+	return runs
 }
 
 // recordCrashes records crashes, and returns the requests that are blocked because of
@@ -185,8 +240,13 @@
 		}
 		c.poison.stale = true
 		c.metrics.Suspected("counted")
-		c.logger.Info("crash: counted", zap.String("upstream", r.Upstream), zap.Stringer("print", r.Fingerprint),
-			zap.Int("crashes", len(c.poison.tracker.Runs(r.Fingerprint))), zap.Int("limit", blockThreshold))
+		crashes := len(c.poison.tracker.Runs(r.Fingerprint))
+		level := zap.InfoLevel
+		if crashes == 1 { // usually no cause, and each VM counts it
+			level = zap.DebugLevel
+		}
+		c.logger.Log(level, "crash: counted", zap.String("upstream", r.Upstream), zap.Stringer("print", r.Fingerprint),
+			zap.Int("crashes", crashes), zap.Int("limit", blockThreshold))
 		if until := c.poison.tracker.BlockedUntil(r.Fingerprint); now.Before(until) {
 			c.logger.Warn("relay: blocking a request that crashes upstreams", zap.Stringer("print", r.Fingerprint), zap.Duration("for", until.Sub(now)))
 			blocked = append(blocked, r.Fingerprint)
@@ -201,14 +261,8 @@
 // noteCompleted handles the complete run of a request under which upstreams have
 // crashed before, or may have: the request is not the cause.
 func (c *control) noteCompleted(f crash.Fingerprint) {
-	if !c.clear(f) {
-		return
-	}
-	names, live := c.liveVMs()
-	for _, name := range rank.Top(f.String(), names, tallyVMs) {
-		if name != c.self.Name {
-			c.transport.send(live[name].Peer, packet{ClearNotice: &clearNotice{Fingerprint: f}})
-		}
+	if c.clear(f) {
+		c.sendToAll(packet{ClearNotice: &clearNotice{Fingerprint: f}})
 	}
 }
 
--- a/pkg/crash/tracker.go
+++ b/pkg/crash/tracker.go
@@ -64,6 +64,13 @@
 // crash.
 func (t *Tracker) Runs(f Fingerprint) []Run { return t.runs[f] }
 
+// Unknown returns the runs of a request that saw other crashes than the given runs.
+func (t *Tracker) Unknown(f Fingerprint, given []Run) []Run {
+	return slices.DeleteFunc(slices.Clone(t.runs[f]), func(r Run) bool {
+		return slices.ContainsFunc(given, func(g Run) bool { return g.ID == r.ID || g.sameCrash(r, t.config.Restart) })
+	})
+}
+
 // Repeated returns the requests under which at least the given number of upstreams
 // have crashed, in no particular order.
 func (t *Tracker) Repeated(crashes int) []Fingerprint {
