--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -16,13 +16,14 @@
 	// blockThreshold is the number of crashes of upstreams under a request at which
 	// the request is blocked.
 	blockThreshold = 3
-	// blockTime is how long a request is blocked at first. The time is doubled for
-	// each further crash, up to maxBlockTime: the decision may be wrong, and only a
-	// run that ends well can show it.
+	// blockTime is how long a request is blocked at first. The time grows with each
+	// further crash, up to maxBlockTime: the decision may be wrong, and only a run that
+	// ends well can show it.
 	blockTime    = time.Minute
-	maxBlockTime = 15 * time.Minute
-	// crashTTL is how long the crashes of a request are remembered after the last one.
-	crashTTL = 2 * maxBlockTime
+	maxBlockTime = 3 * 24 * time.Hour
+	// crashTTL is how long the crashes of a request are remembered after the last one
+	// and after the end of its block.
+	crashTTL = 30 * time.Minute
 	// trialTime is the least time between two runs of a request that was blocked.
 	trialTime = 10 * time.Second
 	// maxTurn bounds the turns that a VM waits after a block before it may try the
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -251,13 +251,32 @@
 	is.Equal(admitted, map[time.Duration]int{0: 1, trialTime: 1, 2 * trialTime: 1, 3 * trialTime: 1})
 }
 
+// Guards against a request that crashes upstreams and comes again for hours: each end of
+// a block let it crash one more (incident BUDGET with real processes).
+func TestPoisonRequestIsTriedThreeTimesADay(t *testing.T) {
+	is := is.New(t)
+	c := loneVM()
+	tracker := crashTracker{c}
+	crashes := 0
+	for at := start; at.Sub(start) < 24*time.Hour; at = at.Add(10 * time.Second) {
+		c.expirePoison(at)
+		if tracker.Admit(at, 7) > 0 {
+			continue
+		}
+		crashes++
+		c.noteBroken(t.Context(), at, brokenRun(7, "e1", at))
+		c.noteCrash(at, "e1", at, learnedByDial)
+	}
+	is.Equal(crashes, blockThreshold+3)
+}
+
 // After the time for which it was blocked, a request that crashes one more upstream is
 // blocked again at once, for longer.
 func TestBlockIsLongerAfterEachCrash(t *testing.T) {
 	is := is.New(t)
 	c := loneVM()
 	at := start
-	for _, want := range []time.Duration{0, 0, blockTime, 2 * blockTime, 4 * blockTime} {
+	for _, want := range []time.Duration{0, 0, blockTime, 16 * blockTime, 256 * blockTime} {
 		c.noteBroken(t.Context(), at, brokenRun(7, "e1", at))
 		c.noteCrash(at, "e1", at, learnedByDial)
 		is.Equal(c.remaining(at, 7), want)
--- a/pkg/crash/tracker.go
+++ b/pkg/crash/tracker.go
@@ -10,13 +10,16 @@
 type TrackerConfig struct {
 	Crashes     int           // a request is blocked once this many upstreams have crashed while they ran it
 	Alone       int           // the same for requests whose runs were alone (Run.Alone)
-	Block       time.Duration // how long it is blocked after the last of these crashes; doubled for each further crash
+	Block       time.Duration // how long it is blocked after the last of these crashes; blockGrowth times as long for each further crash
 	MaxBlock    time.Duration // longest time for which a request is blocked
-	TTL         time.Duration // the crashes of a request are forgotten when no further one follows for this long; longer than MaxBlock
+	TTL         time.Duration // the crashes of a request are forgotten when no further one follows for this long, not counting the time for which it is blocked
 	Restart     time.Duration // shortest time from a crash of an upstream until it runs requests again
 	MaxRequests int           // maximum number of requests whose crashes are remembered
 }
 
+// blockGrowth is how many times longer a request is blocked after each further crash.
+const blockGrowth = 16
+
 // maxRuns bounds the runs that are remembered of one request.
 const maxRuns = 10
 
@@ -37,7 +40,7 @@
 // Record records a crash of an upstream under a request. It returns false if the
 // crash is already known or too old.
 func (t *Tracker) Record(now time.Time, f Fingerprint, r Run) bool {
-	if now.Sub(r.Ended) > t.config.TTL {
+	if now.Sub(r.Ended) > t.config.MaxBlock+t.config.TTL {
 		return false
 	}
 	known := t.runs[f]
@@ -96,7 +99,7 @@
 	}
 	block := t.config.Block
 	for range len(runs) - limit {
-		block = min(2*block, t.config.MaxBlock)
+		block = min(blockGrowth*block, t.config.MaxBlock)
 	}
 	return runs[len(runs)-1].Ended.Add(block)
 }
@@ -111,12 +114,12 @@
 	return blocked
 }
 
-// Expire forgets the requests whose last crash is older than TrackerConfig.TTL, and
-// returns their fingerprints.
+// Expire forgets the requests whose last crash, and the end of whose block, are older than
+// TrackerConfig.TTL, and returns their fingerprints.
 func (t *Tracker) Expire(now time.Time) []Fingerprint {
 	var expired []Fingerprint
 	for f, runs := range t.runs {
-		if now.Sub(runs[len(runs)-1].Ended) > t.config.TTL {
+		if now.Sub(runs[len(runs)-1].Ended) > t.config.TTL && now.Sub(t.BlockedUntil(f)) > t.config.TTL {
 			delete(t.runs, f)
 			expired = append(expired, f)
 		}
--- a/pkg/crash/tracker_test.go
+++ b/pkg/crash/tracker_test.go
@@ -12,7 +12,7 @@
 
 var start = time.Unix(1_000_000, 0)
 
-var config = crash.TrackerConfig{Crashes: 3, Alone: 2, Block: time.Minute, MaxBlock: 5 * time.Minute, TTL: 10 * time.Minute, Restart: time.Second / 2, MaxRequests: 10}
+var config = crash.TrackerConfig{Crashes: 3, Alone: 2, Block: time.Minute, MaxBlock: 20 * time.Minute, TTL: 10 * time.Minute, Restart: time.Second / 2, MaxRequests: 10}
 
 // run returns a run that lasted from one second after start to another.
 func run(id uint64, upstream string, sent, ended float64) crash.Run {
@@ -40,9 +40,9 @@
 		{"one crash, and requests that its upstream broke off afterwards", []crash.Run{run(1, "e1", 0, 1), run(2, "e1", 1.2, 1.2), run(3, "e1", 1.4, 1.4)}, 0},
 		{"one run, reported three times", []crash.Run{run(1, "e1", 0, 1), run(1, "e1", 2, 3), run(1, "e1", 4, 5)}, 0},
 		{"reported late", []crash.Run{run(3, "e3", 4, 5), run(1, "e1", 0, 1), run(2, "e2", 2, 3)}, 65 * time.Second},
-		{"a fourth crash", []crash.Run{run(1, "e1", 0, 1), run(2, "e2", 2, 3), run(3, "e3", 4, 5), run(4, "e4", 65, 66)}, 186 * time.Second},
+		{"a fourth crash", []crash.Run{run(1, "e1", 0, 1), run(2, "e2", 2, 3), run(3, "e3", 4, 5), run(4, "e4", 65, 66)}, 66*time.Second + 16*time.Minute},
 		{"two upstreams, run alone", []crash.Run{alone(1, "e1", 0, 1), alone(2, "e2", 2, 3)}, 63 * time.Second},
-		{"many crashes", []crash.Run{run(1, "e1", 0, 1), run(2, "e2", 2, 3), run(3, "e3", 4, 5), run(4, "e4", 6, 7), run(5, "e5", 8, 9), run(6, "e6", 10, 11)}, 311 * time.Second},
+		{"many crashes", []crash.Run{run(1, "e1", 0, 1), run(2, "e2", 2, 3), run(3, "e3", 4, 5), run(4, "e4", 6, 7), run(5, "e5", 8, 9), run(6, "e6", 10, 11)}, 11*time.Second + 20*time.Minute},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -92,10 +92,26 @@
 	is.True(tracker.Record(start, 7, run(1, "e1", 0, 1)))
 	is.Equal(len(tracker.Expire(start.Add(9*time.Minute))), 0)
 	is.Equal(tracker.Expire(start.Add(11*time.Minute)), []crash.Fingerprint{7})
-	is.True(!tracker.Record(start.Add(11*time.Minute), 7, run(1, "e1", 0, 1)))
+	is.True(!tracker.Record(start.Add(31*time.Minute), 7, run(1, "e1", 0, 1)))
 	is.Equal(len(tracker.Runs(7)), 0)
 }
 
+// A request must not be forgotten while it is blocked, also by a VM that starts meanwhile
+// and reads its crashes.
+func TestTrackerRemembersABlockedRequest(t *testing.T) {
+	is := is.New(t)
+	tracker := crash.NewTracker(config)
+	runs := []crash.Run{run(1, "e1", 0, 1), run(2, "e2", 2, 3), run(3, "e3", 4, 5), run(4, "e4", 65, 66)}
+	at := start.Add(15 * time.Minute)
+	for _, r := range runs {
+		is.True(tracker.Record(at, 7, r))
+	}
+	until := tracker.BlockedUntil(7)
+	is.True(until.After(at))
+	is.Equal(len(tracker.Expire(until.Add(9*time.Minute))), 0)
+	is.Equal(tracker.Expire(until.Add(11*time.Minute)), []crash.Fingerprint{7})
+}
+
 // Many requests that ran when upstreams crashed must not displace one that has crashed
 // several.
 func TestTrackerIsBounded(t *testing.T) {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -66,7 +66,7 @@
 	BidCount          int           // number of engines that are asked for bids on an adapter
 	SuspectTTL        time.Duration // time for which a request stays a suspect after it ran during an engine's crash
 	Block             time.Duration // time for which a request is blocked after the second crash; doubled for each further one
-	MaxBlock          time.Duration // longest time for which a request is blocked
+	MaxBlock          time.Duration // longest time for which a request is blocked; the time grows with each further crash
 	Reappend          time.Duration // time after which a record about a crash that was not read back is appended again
 	LogRetention      time.Duration // time for which the log keeps a record
 	MaxQueue          int           // maximum requests that wait for an engine
@@ -94,7 +94,7 @@
 		BidCount:          12,
 		SuspectTTL:        30 * time.Minute,
 		Block:             time.Minute,
-		MaxBlock:          15 * time.Minute,
+		MaxBlock:          3 * 24 * time.Hour,
 		Reappend:          2 * time.Second,
 		LogRetention:      time.Hour,
 		MaxQueue:          512,
