fix(edge,crash): a request that ran to its end shortly before is held back after six crashes

A request that crashes each replica never runs to its end, so one that did in the last half minute is more likely beside the cause: it is blocked after six crashes, which still leaves the three late retries that the rule allows should it be the cause. TestRequestThatRanToItsEndBeforeIsHeldBackLater failed before.

--- a/internal/edge/crash_tracker.go
+++ b/internal/edge/crash_tracker.go
@@ -62,8 +62,55 @@
 	t.control.post(unreachable{upstream: upstream})
 }
 
+// completions has the requests that ran to their end during the last completionTime, at
+// least, and the last two of these times at most.
+type completions struct {
+	mu          sync.Mutex
+	begun       time.Time                      // begin of the current time
+	now, before map[crash.Fingerprint]struct{} // requests of the current time and of the one before
+}
+
+const (
+	completionTime = 30 * time.Second
+	// maxCompletions bounds the requests of one completionTime.
+	maxCompletions = 10_000
+)
+
+// add adds a request that has run to its end.
+func (c *completions) add(now time.Time, f crash.Fingerprint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expire(now)
+	if len(c.now) < maxCompletions {
+		c.now[f] = struct{}{}
+	}
+}
+
+// has reports whether a request ran to its end shortly before now.
+func (c *completions) has(now time.Time, f crash.Fingerprint) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expire(now)
+	_, current := c.now[f]
+	_, before := c.before[f]
+	return current || before
+}
+
+func (c *completions) expire(now time.Time) {
+	elapsed := now.Sub(c.begun)
+	if elapsed < completionTime && c.now != nil {
+		return
+	}
+	c.before, c.now = c.now, map[crash.Fingerprint]struct{}{}
+	if elapsed >= 2*completionTime {
+		c.before = nil
+	}
+	c.begun = now
+}
+
 // ReportCompleted implements relay.CrashTracker.
-func (t crashTracker) ReportCompleted(f crash.Fingerprint) {
+func (t crashTracker) ReportCompleted(now time.Time, f crash.Fingerprint) {
+	t.control.poison.complete.add(now, f)
 	if _, suspected := (*t.control.poison.watched.Load())[f]; suspected {
 		t.control.post(requestCompleted{fingerprint: f})
 	}
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -16,6 +16,10 @@
 	// blockThreshold is the number of crashes of upstreams under a request at which
 	// the request is blocked.
 	blockThreshold = 3
+	// harmlessThreshold is the same for a request that had run to its end shortly before:
+	// it more likely ran beside the cause. The platform allows three repeats after the
+	// third crash.
+	harmlessThreshold = 6
 	// blockTime is how long a request is blocked at first. The time grows with each
 	// further crash, up to maxBlockTime: the decision may be wrong, and only a run that
 	// ends well can show it.
@@ -91,14 +95,15 @@
 	Upstream    string            `msgpack:"u"`
 	Sent        time.Duration     `msgpack:"s"`
 	Ended       time.Duration     `msgpack:"e"`
+	Harmless    bool              `msgpack:"h,omitempty"`
 }
 
 func newCrashRun(now time.Time, f crash.Fingerprint, r crash.Run) crashRun {
-	return crashRun{Fingerprint: f, ID: r.ID, Upstream: r.Upstream, Sent: now.Sub(r.Sent), Ended: now.Sub(r.Ended)}
+	return crashRun{Fingerprint: f, ID: r.ID, Upstream: r.Upstream, Sent: now.Sub(r.Sent), Ended: now.Sub(r.Ended), Harmless: r.Harmless}
 }
 
 func (r crashRun) at(now time.Time) crash.Run {
-	return crash.Run{ID: r.ID, Upstream: r.Upstream, Sent: now.Add(-r.Sent), Ended: now.Add(-r.Ended)}
+	return crash.Run{ID: r.ID, Upstream: r.Upstream, Sent: now.Add(-r.Sent), Ended: now.Add(-r.Ended), Harmless: r.Harmless}
 }
 
 // crashReport tells a VM of crashes under requests.
@@ -137,6 +142,7 @@
 	unsaved  map[crash.Fingerprint]time.Time   // requests whose record in the store is out of date, and since when
 	asked    map[string]bool                   // VMs that were asked for the crashes that they know of
 	trials   trials
+	complete completions
 	reviewAt time.Time // time of the next check of what is to be saved
 	// watched has the requests under which upstreams have crashed or may have, and the
 	// ends of the times for which they are blocked. The request path reads it.
@@ -147,7 +153,7 @@
 func newPoison() *poison {
 	p := &poison{
 		tracker: crash.NewTracker(crash.TrackerConfig{
-			Crashes: blockThreshold, Block: blockTime, MaxBlock: maxBlockTime, TTL: crashTTL, Restart: restartTime, MaxRequests: maxFingerprints,
+			Crashes: blockThreshold, Harmless: harmlessThreshold, Block: blockTime, MaxBlock: maxBlockTime, TTL: crashTTL, Restart: restartTime, MaxRequests: maxFingerprints,
 		}),
 		pending: map[string][]suspect{}, outages: map[string]*outage{}, crashed: map[string]time.Time{}, probing: map[string]bool{}, saved: map[crash.Fingerprint][]crash.Run{}, unsaved: map[crash.Fingerprint]time.Time{}, asked: map[string]bool{},
 		trials: trials{begun: map[crash.Fingerprint]time.Time{}},
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -251,6 +251,33 @@
 	is.Equal(admitted, map[time.Duration]int{0: 1, trialTime: 1, 2 * trialTime: 1, 3 * trialTime: 1})
 }
 
+// Guards against the block of a request that many callers send, and that was running in
+// each of three crashes under another one.
+func TestRequestThatRanToItsEndBeforeIsHeldBackLater(t *testing.T) {
+	is := is.New(t)
+	c := loneVM()
+	crashTracker{c}.ReportCompleted(start.Add(-completionTime), 8)
+	for i := range harmlessThreshold {
+		at := start.Add(time.Duration(i) * time.Second)
+		is.Equal(c.remaining(at, 7) > 0, i >= blockThreshold)
+		is.Equal(c.remaining(at, 8), time.Duration(0))
+		c.noteBroken(t.Context(), at, brokenRun(7, "e1", at))
+		c.noteBroken(t.Context(), at, brokenRun(8, "e1", at))
+		c.noteCrash(at, "e1", at, learnedByDial)
+	}
+	is.True(c.remaining(start.Add(harmlessThreshold*time.Second), 8) > 0)
+}
+
+func TestCompletionsExpire(t *testing.T) {
+	is := is.New(t)
+	var c completions
+	c.add(start, 7)
+	is.True(c.has(start, 7))
+	is.True(!c.has(start, 8))
+	is.True(c.has(start.Add(completionTime), 7))
+	is.True(!c.has(start.Add(3*completionTime), 7))
+}
+
 // Guards against a request that crashes upstreams and comes again for hours: each end of
 // a block let it crash one more (incident BUDGET with real processes).
 func TestPoisonRequestIsTriedThreeTimesADay(t *testing.T) {
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -89,7 +89,7 @@
 	if len(list) < maxFingerprints {
 		c.poison.runs++
 		list = append(list, suspect{fingerprint: e.Fingerprint, run: crash.Run{
-			ID: crash.RunID(c.self.Name, strconv.FormatInt(c.self.Boot, 10), c.poison.runs), Upstream: id, Sent: e.Sent, Ended: now,
+			ID: crash.RunID(c.self.Name, strconv.FormatInt(c.self.Boot, 10), c.poison.runs), Upstream: id, Sent: e.Sent, Ended: now, Harmless: c.poison.complete.has(now, e.Fingerprint),
 		}})
 	}
 	c.poison.pending[id], c.poison.stale = list, true
@@ -246,7 +246,7 @@
 			level = zap.DebugLevel
 		}
 		c.logger.Log(level, "crash: counted", zap.String("upstream", r.Upstream), zap.Stringer("print", r.Fingerprint),
-			zap.Int("crashes", crashes), zap.Int("limit", blockThreshold))
+			zap.Int("crashes", crashes), zap.Bool("harmless", r.Harmless))
 		if until := c.poison.tracker.BlockedUntil(r.Fingerprint); now.Before(until) {
 			c.logger.Warn("relay: blocking a request that crashes upstreams", zap.Stringer("print", r.Fingerprint), zap.Duration("for", until.Sub(now)))
 			blocked = append(blocked, r.Fingerprint)
--- a/internal/relay/crash_tracker.go
+++ b/internal/relay/crash_tracker.go
@@ -30,7 +30,7 @@
 	ReportUnreachable(upstream string)
 	// ReportCompleted reports that an upstream answered the request with fingerprint f
 	// completely.
-	ReportCompleted(f crash.Fingerprint)
+	ReportCompleted(now time.Time, f crash.Fingerprint)
 }
 
 // BrokenRun is a run of a request that ended without a complete answer.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -375,7 +375,7 @@
 
 // recordAnswer reports, counts and logs a complete answer of an upstream.
 func (x *exchange) recordAnswer(upstream string, status int) {
-	x.config.CrashTracker.ReportCompleted(x.fingerprint())
+	x.config.CrashTracker.ReportCompleted(time.Now(), x.fingerprint())
 	x.config.Metrics.Answered(x.route.Kind.String())
 	x.config.Metrics.Latency(x.route.Kind.String(), time.Since(x.started))
 	x.config.Logger.Info("relay: answered", zap.String("request", x.call.ID), zap.String("upstream", upstream),
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -48,6 +48,7 @@
 	Sent     time.Time // when the request was sent to the upstream
 	Ended    time.Time // when the request broke off
 	Alone    bool      // no other request that is a suspect ran there at the same time
+	Harmless bool      // the request had run to its end shortly before
 }
 
 // RunID returns the ID of a run: the VM that sent the request, the run of the VM's
@@ -70,16 +71,17 @@
 	Sent     int64  `json:"sent"`
 	Ended    int64  `json:"ended"`
 	Alone    bool   `json:"alone,omitempty"`
+	Harmless bool   `json:"harmless,omitempty"`
 }
 
 // Save returns the run as it is stored.
 func (r Run) Save() SavedRun {
-	return SavedRun{ID: r.ID, Upstream: r.Upstream, Sent: r.Sent.UnixMilli(), Ended: r.Ended.UnixMilli(), Alone: r.Alone}
+	return SavedRun{ID: r.ID, Upstream: r.Upstream, Sent: r.Sent.UnixMilli(), Ended: r.Ended.UnixMilli(), Alone: r.Alone, Harmless: r.Harmless}
 }
 
 // Load returns the run. It may have ended in the future, as the clocks of VMs differ.
 func (r SavedRun) Load() Run {
-	return Run{ID: r.ID, Upstream: r.Upstream, Sent: time.UnixMilli(r.Sent), Ended: time.UnixMilli(r.Ended), Alone: r.Alone}
+	return Run{ID: r.ID, Upstream: r.Upstream, Sent: time.UnixMilli(r.Sent), Ended: time.UnixMilli(r.Ended), Alone: r.Alone, Harmless: r.Harmless}
 }
 
 // Stream is the log stream of the records about crashes.
--- a/pkg/crash/tracker.go
+++ b/pkg/crash/tracker.go
@@ -10,6 +10,7 @@
 type TrackerConfig struct {
 	Crashes     int           // a request is blocked once this many upstreams have crashed while they ran it
 	Alone       int           // the same for requests whose runs were alone (Run.Alone)
+	Harmless    int           // the same for requests of which a run was harmless (Run.Harmless); Crashes if not set
 	Block       time.Duration // how long it is blocked after the last of these crashes; blockGrowth times as long for each further crash
 	MaxBlock    time.Duration // longest time for which a request is blocked
 	TTL         time.Duration // the crashes of a request are forgotten when no further one follows for this long, not counting the time for which it is blocked
@@ -90,10 +91,7 @@
 // zero time if too few upstreams have crashed.
 func (t *Tracker) BlockedUntil(f Fingerprint) time.Time {
 	runs := t.runs[f]
-	limit := t.config.Crashes
-	if len(runs) > 0 && runs[0].Alone {
-		limit = t.config.Alone
-	}
+	limit := t.limit(runs)
 	if len(runs) < limit {
 		return time.Time{}
 	}
@@ -104,6 +102,18 @@
 	return runs[len(runs)-1].Ended.Add(block)
 }
 
+// limit returns the number of crashes at which a request with these runs is blocked.
+func (t *Tracker) limit(runs []Run) int {
+	switch {
+	case len(runs) > 0 && runs[0].Alone:
+		return t.config.Alone
+	case t.config.Harmless > 0 && slices.ContainsFunc(runs, func(r Run) bool { return r.Harmless }):
+		return t.config.Harmless
+	default:
+		return t.config.Crashes
+	}
+}
+
 // Blocked returns the end of the time for which each request is blocked under which
 // an upstream has crashed; the zero time if too few have.
 func (t *Tracker) Blocked() map[Fingerprint]time.Time {
