--- a/internal/relay/lifesigns.go
+++ b/internal/relay/lifesigns.go
@@ -45,9 +45,13 @@
 	r.sign.note(now)
 }
 
-// silent reports whether the upstream has sent nothing for a while, neither for this run
-// nor for others.
-func (r *sentRun) silent() bool { return !r.sign.time().After(r.heard) }
+// transitTime is how long after a request is sent data may still arrive that its upstream
+// sent before it got the request.
+const transitTime = 50 * time.Millisecond
+
+// silent reports whether the upstream has sent nothing since it got the request, or since
+// it last sent something for this run, neither for this run nor for others.
+func (r *sentRun) silent() bool { return !r.sign.time().After(r.heard.Add(transitTime)) }
 
 // lifeSignTTL is how long an upstream that sends nothing is remembered.
 const lifeSignTTL = time.Minute
