--- a/e2e/retry_test.go
+++ b/e2e/retry_test.go
@@ -14,6 +14,7 @@
 // starts with retries of its own (incident BUDGET with real processes). Each call
 // breaks off, and VMs are killed in series.
 func TestRetriesOfAllVMsStayWithinTheLimit(t *testing.T) {
+	t.Parallel()
 	const (
 		callTime     = 10 * time.Second // the window of the limit
 		callInterval = 100 * time.Millisecond
