feat(edge,fence): follow a store that comes back from an older copy

The store may be away and come back from a copy some seconds old (header Store-Era). What was written since is gone and its offsets are given out again.

platform/ hands the era on with each result; pkg/cursor orders positions by era first, and a fencing token is a position's number. Topics are listed again when any response, peer or append shows a newer era; what is older changes nothing. A claim names the era in which it was written, and only one of the present era lets a VM begin to hold; holders write theirs again and go on; who can't know whose claims are gone waits for the lease. Configurations, adapter versions and draining upstreams don't go back; an upstream that is gone stays so until it writes anew, or another one answers at its address; own records and counts of crashes are written again.

--- a/internal/edge/claims.go
+++ b/internal/edge/claims.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,7 +17,10 @@
 // For some time after its start (see listenTime and claimStagger), the VM only
 // reclaims the engines that it held before.
 func (c *control) claimEngines(ctx context.Context, now time.Time) {
-	if c.claiming || c.leaving || now.Before(c.claimAfter) || c.fleetEnd < 0 || c.table == nil {
+	if c.claiming || c.leaving || now.Before(c.claimAfter) || c.fleetEnd < 0 || c.table == nil || c.storeEra.topics[platform.FleetTopic] < c.storeEra.newest {
+		return
+	}
+	if c.renewClaims(ctx, now) {
 		return
 	}
 	live := []fence.VM{{Name: c.self.Name, Boot: c.self.Boot}}
@@ -58,6 +62,27 @@
 	}
 }
 
+// claimRenewal is the time that a renewed claim has to be read back before it is written
+// once more.
+const claimRenewal = 2 * fleetInterval
+
+// renewClaims writes this VM's claims of an earlier era again, as they may be gone from
+// the store. It reports whether there are any. What others have claimed since the listing
+// is read before these claims are.
+func (c *control) renewClaims(ctx context.Context, now time.Time) bool {
+	outdated := c.fence.Outdated(fence.VM{Name: c.self.Name, Boot: c.self.Boot})
+	outdated = slices.DeleteFunc(outdated, func(id string) bool {
+		_, known := c.roster.Get(id)
+		return !known
+	})
+	if len(outdated) == 0 || now.Sub(c.renewedAt) < claimRenewal {
+		return len(outdated) > 0
+	}
+	c.renewedAt = now
+	c.writeClaims(ctx, outdated, anyOffset, false)
+	return true
+}
+
 // anyOffset, given as the expected end of the topic, makes an append
 // unconditional.
 const anyOffset = -1
@@ -100,7 +125,7 @@
 func (c *control) writeClaims(ctx context.Context, engines []string, offset int64, released bool) {
 	j := &claimJob{store: c.store, post: c.post, offset: offset}
 	for _, id := range engines {
-		value, err := json.Marshal(fence.Claim{Engine: id, VM: c.self.Name, Boot: c.self.Boot, Released: released})
+		value, err := json.Marshal(fence.Claim{Engine: id, VM: c.self.Name, Boot: c.self.Boot, Era: c.storeEra.newest, Released: released})
 		if err != nil {
 			c.logger.Error("claim: cannot encode a claim", zap.Error(err))
 			continue
@@ -120,5 +145,6 @@
 }
 
 func (j *claimJob) run(ctx context.Context) {
-	j.post(claimDone{err: j.store.Append(ctx, platform.FleetTopic, j.offset, j.records...)})
+	era, err := j.store.Append(ctx, platform.FleetTopic, j.offset, j.records...)
+	j.post(claimDone{era: era, err: err})
 }
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -54,7 +54,10 @@
 
 // claimDone is the result of writing claims to the fleet topic, to claim engines
 // or to give them up.
-type claimDone struct{ err error }
+type claimDone struct {
+	era int64 // era of the store in which they were written
+	err error
+}
 
 // leave makes the VM leave the fleet: it stops accepting new callers and gives up
 // its engines.
@@ -156,10 +159,13 @@
 	behindSince     time.Time                                     // time since which a peer has read more of the operator topic; zero if none has
 	upstreamsOffset int64                                         // offset up to which records of the upstreams topic were applied
 	feeds           map[platform.Topic]*feed                      // readers of the store's topics
+	storeEra        storeEra
+	announce        *announceJob // writes this VM's addresses to the store; nil in tests
 	poison          *poison
 	loadLimiters    map[string]*loadLimiter // limits on loads of base models, by service
 	confirmedAt     time.Duration           // start of the last read that covered all claims, as time since the boot of the machine
 	claiming        bool
+	renewedAt       time.Time // time at which claims of an earlier era were last written again
 	claimAfter      time.Time // time before which no claim is written, after a failed attempt
 	leaving         bool
 	started         time.Time
@@ -222,14 +228,14 @@
 	}
 	switch e := e.(type) {
 	case topicListing:
-		c.applyListing(now, e)
+		c.applyListing(ctx, now, e)
+	case eraSeen:
+		c.noteEra(now, e.era, "response")
+		return
 	case recordsRead:
-		if e.recovered {
-			c.claimAfter = now
+		if !c.applyRead(now, e) {
+			return
 		}
-		changed := c.applyRecords(now, e.topic, e.batch.Records, e.recovered, false)
-		c.advanceOffset(now, e.topic, e.batch.Next, e.began)
-		c.forward(e, changed)
 	case packetReceived:
 		c.handlePacket(ctx, now, e)
 		return
@@ -245,6 +251,7 @@
 			c.logger.Info("claim: cannot write claims", zap.Error(e.err))
 			c.claimAfter = now.Add(claimBackoff(e.err) + rand.N(claimJitter)) //nolint:gosec // jitter
 		}
+		c.noteEra(now, e.era, "append")
 		c.feeds[platform.FleetTopic].refresh()
 		return
 	case stateRequest:
@@ -288,10 +295,14 @@
 	for id, h := range c.held {
 		claim, ok := c.fence.Get(id)
 		u, known := c.roster.Get(id)
-		if !ok || !known || !c.isOwn(claim) || claim.Token != h.token {
+		if !ok || !known || !c.isOwn(claim) || (claim.Token != h.token && now.Before(claim.OrdersFrom(c.lease()))) {
 			c.release(id, h, ok && known)
 			continue
 		}
+		if claim.Token != h.token {
+			c.logger.Info("claim: engine is held by a new claim", zap.String("upstream", id), zap.Int64("token", claim.Token), zap.Int64("old", h.token))
+			h.token = claim.Token
+		}
 		h.upstream = u
 		if u.Draining {
 			h.scheduler.Close()
@@ -299,7 +310,7 @@
 	}
 	for _, u := range c.engineUpstreams() {
 		claim, ok := c.fence.Get(u.ID)
-		if _, held := c.held[u.ID]; !ok || held || !c.isOwn(claim) {
+		if _, held := c.held[u.ID]; !ok || held || !c.isOwn(claim) || !c.fence.Present(claim) {
 			continue
 		}
 		c.hold(now, u, claim)
@@ -307,6 +318,15 @@
 	c.publish()
 }
 
+// lease returns how long a new holder waits for the lease of the one before.
+func (c *control) lease() time.Duration {
+	lease := c.settings.Bounds.Lease + leaseMargin
+	if !c.settings.Bounds.Fenced {
+		lease += confirmTime
+	}
+	return lease
+}
+
 func (c *control) isOwn(a fence.ActiveClaim) bool {
 	return a.VM == c.self.Name && a.Boot == c.self.Boot && !a.Released
 }
@@ -338,11 +358,7 @@
 // hold starts scheduling an engine on which this VM has the claim.
 func (c *control) hold(now time.Time, u roster.Upstream, claim fence.ActiveClaim) {
 	e := c.table.Service(u.Service).Engine
-	lease := c.settings.Bounds.Lease + leaseMargin
-	if !c.settings.Bounds.Fenced {
-		lease += confirmTime
-	}
-	startAt := claim.OrdersFrom(lease)
+	startAt := claim.OrdersFrom(c.lease())
 	config := engine.Config{
 		BatchSize: e.BatchSize, KVCapacity: e.KVCapacity, AdapterSlots: e.AdapterSlots, MaxLoads: maxConcurrentLoads, MemoryMB: e.MemoryMB, Unfenced: !c.settings.Bounds.Fenced,
 		Models: models(u.ID, e), ColdLoad: coldLoadTime, WarmLoad: warmLoadTime, WarmAdapters: cachedAdapters, MaxStale: c.settings.Bounds.Versions, ReportLag: reportLag,
@@ -377,7 +393,7 @@
 func (c *control) tick(ctx context.Context, now time.Time) {
 	probes, changed := c.gossip.Tick(now)
 	for _, vm := range probes {
-		c.transport.send(vm.Peer, packet{Probe: &probe{From: c.gossip.Self(), Updates: c.gossip.Updates(), OperatorOffset: c.operatorOffset}})
+		c.transport.send(vm.Peer, packet{Probe: c.newProbe()})
 	}
 	for _, u := range changed {
 		c.logger.Info("peer: "+u.Status.String(), zap.String("vm", u.VM.Name), zap.Int64("boot", u.VM.Boot))
--- a/internal/edge/control_test.go
+++ b/internal/edge/control_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/tanagerlb/tanagerlb/pkg/cursor"
 	"github.com/tanagerlb/tanagerlb/pkg/gossip"
 	"github.com/tanagerlb/tanagerlb/platform"
 )
@@ -20,16 +21,16 @@
 	is := is.New(t)
 	count := 0
 	c := &control{logger: zap.NewNop(), operatorOffset: 5, feeds: map[platform.Topic]*feed{platform.OperatorTopic: {cancel: func() { count++ }}}}
-	c.checkBehind(start, 5)
-	c.checkBehind(start.Add(time.Second), 6)
+	c.checkBehind(start, cursor.Position{Offset: 5})
+	c.checkBehind(start.Add(time.Second), cursor.Position{Offset: 6})
 	is.Equal(count, 0) // the records may still arrive
-	c.checkBehind(start.Add(1100*time.Millisecond), 6)
+	c.checkBehind(start.Add(1100*time.Millisecond), cursor.Position{Offset: 6})
 	is.Equal(count, 0)
-	c.checkBehind(start.Add(1400*time.Millisecond), 6)
+	c.checkBehind(start.Add(1400*time.Millisecond), cursor.Position{Offset: 6})
 	is.Equal(count, 1)
 	c.operatorOffset = 6
-	c.checkBehind(start.Add(3*time.Second), 6)
-	c.checkBehind(start.Add(4*time.Second), 6)
+	c.checkBehind(start.Add(3*time.Second), cursor.Position{Offset: 6})
+	c.checkBehind(start.Add(4*time.Second), cursor.Position{Offset: 6})
 	is.Equal(count, 1)
 }
 
@@ -65,7 +66,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			f := &feed{next: c.next}
-			is.Equal(f.skipTo(start, c.from, c.forwarded), c.taken)
+			is.Equal(f.skipTo(start, 0, c.from, c.forwarded), c.taken)
 			want := c.next
 			if c.taken {
 				want = c.forwarded
@@ -78,9 +79,9 @@
 func TestOwnReadNeverFallsBehindForwardedRecords(t *testing.T) {
 	is := is.New(t)
 	f := &feed{next: 10}
-	is.True(f.skipTo(start, 10, 20))
-	f.setNext(15) // the response to a read in progress
+	is.True(f.skipTo(start, 0, 10, 20))
+	f.advance(0, 15) // the response to a read in progress
 	is.Equal(f.offset(), int64(20))
-	f.setNext(-1) // records were trimmed
+	f.list() // records were trimmed
 	is.Equal(f.offset(), int64(-1))
 }
--- a/internal/edge/crash_records.go
+++ b/internal/edge/crash_records.go
@@ -35,6 +35,7 @@
 
 // crashesSaved is the result of writing crashRecords.
 type crashesSaved struct {
+	era   int64                             // era of the store in which they were written
 	saved map[crash.Fingerprint][]crash.Run // runs written, by request
 	err   error
 }
@@ -140,8 +141,8 @@
 }
 
 func (j *saveJob) run(ctx context.Context) {
-	err := j.store.Append(ctx, platform.FleetTopic, anyOffset, j.records...)
-	j.post(crashesSaved{saved: j.saved, err: err})
+	era, err := j.store.Append(ctx, platform.FleetTopic, anyOffset, j.records...)
+	j.post(crashesSaved{era: era, saved: j.saved, err: err})
 }
 
 func (c *control) noteSaved(now time.Time, e crashesSaved) {
@@ -151,6 +152,10 @@
 		c.logger.Info("crash: cannot save the count of a request", zap.Int("requests", len(e.saved)), zap.Error(e.err))
 		return
 	}
+	c.noteEra(now, e.era, "append")
+	if e.era != c.storeEra.newest {
+		return // the store has come back from a copy that lacks them
+	}
 	for f, runs := range e.saved {
 		c.poison.saved[f] = runs
 		if len(runs) == 0 {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -121,7 +121,7 @@
 		go f.loop(ctx)
 	}
 	go (&stateFetcher{vm: v, seeds: s.Seeds, port: s.Peer.Port(), http: &http.Client{}}).run(ctx)
-	go (&announceJob{store: c.store, self: self, logger: v.logger}).run(ctx)
+	go c.announce.run(ctx)
 	return nil
 }
 
@@ -143,11 +143,12 @@
 		engines: platform.NewEngineClient(platform.EngineConfig{Timeout: orderTimeout}),
 		events:  make(chan event, eventBuffer),
 		roster:  roster.New(), fence: fence.New(), versions: map[engine.Name]engine.Version{}, loadLimiters: map[string]*loadLimiter{}, poison: newPoison(), newest: map[platform.Topic]map[string]platform.Record{}, held: map[string]*heldEngine{},
-		fleetEnd: -1, closeIdle: v.pool.CloseIdle, check: v.pool.Check,
+		fleetEnd: -1, storeEra: storeEra{topics: map[platform.Topic]int64{}}, closeIdle: v.pool.CloseIdle, check: v.pool.Check,
 		gossip: gossip.New(gossip.Config{
 			ProbeTimeout: 200 * time.Millisecond, SuspicionTimeout: time.Second, MaxUpdates: 6, MaxTickGap: 400 * time.Millisecond,
 		}, self),
 	}
+	c.announce = &announceJob{store: c.store, self: self, logger: v.logger}
 	c.dispatcher = newDispatcher(self, peers, c.post, v.logger)
 	c.view.Store(&relay.View{})
 	c.directory.Store(&directory{self: self})
@@ -183,7 +184,7 @@
 		return
 	}
 	for backoff := retryBackoff; ctx.Err() == nil; backoff = min(2*backoff, maxSlowBackoff) {
-		err := j.store.Append(ctx, platform.FleetTopic, -1, platform.Record{Key: keyVM + j.self.Name, Value: value})
+		_, err := j.store.Append(ctx, platform.FleetTopic, anyOffset, platform.Record{Key: keyVM + j.self.Name, Value: value})
 		if err == nil {
 			return
 		}
--- a/internal/edge/feed.go
+++ b/internal/edge/feed.go
@@ -24,6 +24,8 @@
 	cancel         context.CancelFunc // cancels the read or sleep in progress
 	requested      bool               // the next read does not wait for records, and is posted even if empty
 	next           int64              // offset of the next read; -1 to list the whole topic
+	era            int64              // era of the store in which that offset holds
+	delay          time.Duration      // time to wait before the next listing
 	forwards       atomic.Bool        // this VM forwards what it reads to its group
 	follows        atomic.Bool        // another VM forwards what it reads to this VM
 	slowRetry      atomic.Bool        // back off longer: other VMs detect the end of an outage
@@ -66,15 +68,16 @@
 }
 
 func (f *feed) loop(ctx context.Context) {
-	f.setNext(-1)
+	f.list()
 	backoff := retryBackoff
 	for ctx.Err() == nil {
+		f.sleep(ctx, f.takeDelay())
 		next, began := f.offset(), sinceBoot()
 		batch, requested, err := f.fetch(ctx, next)
 		switch {
 		case errors.Is(err, platform.ErrTrimmed):
 			f.logger.Info("store: records were trimmed; listing the whole topic", zap.String("topic", string(f.topic)))
-			f.setNext(-1)
+			f.list()
 			continue
 		case errors.Is(err, errRestarted):
 			continue
@@ -86,12 +89,16 @@
 		}
 		backoff = retryBackoff
 		recovered := f.markUp()
+		if !f.acceptEra(next, batch.Era) {
+			f.post(eraSeen{era: batch.Era})
+			continue
+		}
 		if next < 0 {
 			f.post(topicListing{topic: f.topic, batch: batch, recovered: recovered, began: began})
 		} else if len(batch.Records) > 0 || recovered || requested || f.confirmsClaims || f.forwards.Load() {
 			f.post(recordsRead{topic: f.topic, from: next, batch: batch, recovered: recovered, began: began})
 		}
-		f.setNext(batch.Next)
+		f.advance(batch.Era, batch.Next)
 		f.sleep(ctx, f.nextInterval())
 	}
 }
@@ -128,28 +135,79 @@
 	return f.next
 }
 
-func (f *feed) setNext(next int64) {
+// list makes the next read list the whole topic.
+func (f *feed) list() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if next < 0 || next > f.next { // a peer may have forwarded later records during the read
+	f.next = -1
+}
+
+// advance sets the offset of the next read, in an era.
+func (f *feed) advance(era, next int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if era == f.era && next > f.next { // a peer may have forwarded later records during the read
 		f.next = next
 	}
 }
 
-// skipTo accepts forwarded records with the offsets from (inclusive) to next
+// skipTo accepts forwarded records of an era with the offsets from (inclusive) to next
 // (exclusive): the next read starts at next. skipTo changes nothing and returns
-// false if the topic is not listed yet, or if the records are older than those
+// false if the topic is not listed yet in that era, or if the records are older than those
 // read so far or leave a gap after them.
-func (f *feed) skipTo(now time.Time, from, next int64) bool {
+func (f *feed) skipTo(now time.Time, era, from, next int64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.next < 0 || from > f.next || next < f.next {
+	if era != f.era || f.next < 0 || from > f.next || next < f.next {
 		return false
 	}
 	f.next, f.forwardedAt = next, now
 	return true
 }
 
+// beginEra makes the loop list the topic again after a delay, if the store is in a newer
+// era than the last listing.
+func (f *feed) beginEra(now time.Time, era int64, delay time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if era <= f.era {
+		return
+	}
+	f.era, f.next, f.delay, f.forwardedAt = era, -1, delay, now
+	if f.cancel != nil {
+		f.cancel()
+	}
+}
+
+// takeDelay returns the time to wait before the next listing, once.
+func (f *feed) takeDelay() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delay := f.delay
+	f.delay = 0
+	return delay
+}
+
+// acceptEra reports whether the response to a read, or to a listing if next is negative,
+// is of use: it is not if the store came back from a copy since the offset was read, or if
+// the response is older than that. The topic is then listed again.
+func (f *feed) acceptEra(next, era int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reading := next >= 0
+	switch {
+	case era < f.era:
+		f.next, f.delay = -1, retryBackoff
+		return false
+	case reading && (era > f.era || f.next < 0):
+		f.next, f.era = -1, era
+		return false
+	default:
+		f.era = era
+		return true
+	}
+}
+
 // hasGap reports whether some records before the offset from were neither read nor
 // forwarded.
 func (f *feed) hasGap(from int64) bool {
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -74,7 +74,7 @@
 	// Even an empty batch is useful: it makes the members postpone their own reads.
 	for t, next := range map[platform.Topic]int64{platform.OperatorTopic: c.operatorOffset, platform.FleetTopic: c.fleetEnd} {
 		if !c.feeds[t].down.Load() {
-			c.sendAll(r.members, forwardedRecords{Topic: t, From: next, Next: next})
+			c.sendAll(r.members, forwardedRecords{Topic: t, Era: c.storeEra.topics[t], From: next, Next: next})
 		}
 	}
 }
@@ -89,7 +89,7 @@
 // datagram is dropped together with all records before it. The members then detect
 // a gap and read the store themselves.
 func splitRecords(e recordsRead, records []platform.Record) []forwardedRecords {
-	empty := forwardedRecords{Topic: e.topic, From: e.from, Next: e.batch.Next, Recovered: e.recovered}
+	empty := forwardedRecords{Topic: e.topic, Era: e.batch.Era, From: e.from, Next: e.batch.Next, Recovered: e.recovered}
 	list := []forwardedRecords{empty}
 	size := 0
 	for _, r := range records {
@@ -131,7 +131,10 @@
 	if !ok {
 		return
 	}
-	if !f.skipTo(now, l.From, l.Next) {
+	if !c.acceptEra(now, l.Topic, l.Era, "peer") {
+		return
+	}
+	if !f.skipTo(now, l.Era, l.From, l.Next) {
 		if f.follows.Load() && f.hasGap(l.From) {
 			f.refresh()
 		}
--- a/internal/edge/forward_test.go
+++ b/internal/edge/forward_test.go
@@ -51,7 +51,7 @@
 	})
 	f := &feed{next: 5}
 	for _, l := range list {
-		is.True(!f.skipTo(start, l.From, l.Next))
+		is.True(!f.skipTo(start, l.Era, l.From, l.Next))
 		is.True(f.hasGap(l.From))
 	}
 	is.Equal(list[0].Records, []platform.Record{{Offset: 7, Key: "b"}})
@@ -59,7 +59,7 @@
 
 func newGroupControl(count int, self string) *control {
 	vm := gossip.VM{Name: self, Boot: 1}
-	c := &control{logger: zap.NewNop(), self: vm, gossip: gossip.New(gossip.Config{}, vm), settings: platform.Settings{Bounds: platform.Bounds{Fenced: true}}}
+	c := &control{logger: zap.NewNop(), self: vm, gossip: gossip.New(gossip.Config{}, vm), settings: platform.Settings{Bounds: platform.Bounds{Fenced: true}}, storeEra: storeEra{topics: map[platform.Topic]int64{}}}
 	for i := range count {
 		peer := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i)}), 9)
 		c.gossip.ApplyDirect(start, gossip.Update{VM: gossip.VM{Name: fmt.Sprintf("vm-%03d", i), Boot: 1, Peer: peer}, Status: gossip.Alive})
@@ -108,6 +108,7 @@
 	c.feeds = map[platform.Topic]*feed{
 		platform.OperatorTopic: {topic: platform.OperatorTopic, next: 5, cancel: func() { reads++ }}, platform.UpstreamsTopic: {next: -1}, platform.FleetTopic: {next: -1},
 	}
+	c.storeEra.topics[platform.OperatorTopic] = 0
 	c.forward(recordsRead{topic: platform.UpstreamsTopic}, nil) // sets the role of the VM in each feed
 	is.True(c.feeds[platform.OperatorTopic].follows.Load())
 	is.Equal(c.feeds[platform.OperatorTopic].nextInterval(), followInterval)
--- a/internal/edge/packet.go
+++ b/internal/edge/packet.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/tanagerlb/tanagerlb/pkg/call"
+	"github.com/tanagerlb/tanagerlb/pkg/cursor"
 	"github.com/tanagerlb/tanagerlb/pkg/engine"
 	"github.com/tanagerlb/tanagerlb/pkg/gossip"
 	"github.com/tanagerlb/tanagerlb/platform"
@@ -32,10 +33,10 @@
 // probe is a failure detector probe, or the reply to one. It carries membership
 // gossip.
 type probe struct {
-	From           gossip.Update   `msgpack:"f"`
-	Updates        []gossip.Update `msgpack:"n,omitempty"`
-	Reply          bool            `msgpack:"r,omitempty"` // this is the reply to a probe
-	OperatorOffset int64           `msgpack:"o,omitempty"` // offset up to which the sender has read the operator topic
+	From     gossip.Update   `msgpack:"f"`
+	Updates  []gossip.Update `msgpack:"n,omitempty"`
+	Reply    bool            `msgpack:"r,omitempty"` // this is the reply to a probe
+	Operator cursor.Position `msgpack:"o"`           // newest era that the sender knows of, and the offset up to which it has read the operator topic
 }
 
 // slotRequest asks the holder of an engine for a slot. Times are sent as remaining
@@ -87,12 +88,13 @@
 	Outcome engine.Outcome `msgpack:"o,omitempty"`
 }
 
-// forwardedRecords carries the records of a topic with the offsets From
+// forwardedRecords carries the records of a topic that were read in an era, with the offsets From
 // (inclusive) to Next (exclusive), so that not every VM must read them from the
 // store. For the upstreams topic, it has only the records that changed the
 // sender's roster.
 type forwardedRecords struct {
 	Topic     platform.Topic    `msgpack:"t"`
+	Era       int64             `msgpack:"e,omitempty"`
 	From      int64             `msgpack:"f"`
 	Next      int64             `msgpack:"n"`
 	Recovered bool              `msgpack:"a,omitempty"` // earlier reads of the sender had failed
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -1,12 +1,15 @@
 package edge
 
 import (
+	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/tanagerlb/tanagerlb/pkg/crash"
 	"github.com/tanagerlb/tanagerlb/pkg/engine"
 	"github.com/tanagerlb/tanagerlb/pkg/fence"
 	"github.com/tanagerlb/tanagerlb/pkg/gossip"
@@ -18,7 +21,11 @@
 // applyListing applies a listing of a topic. An upstream's entry is the record
 // that it writes about itself in the upstreams topic; upstreams that have no entry
 // in the listing are marked as missing.
-func (c *control) applyListing(now time.Time, e topicListing) {
+func (c *control) applyListing(ctx context.Context, now time.Time, e topicListing) {
+	accepted, restored := c.beginListing(now, e.topic, e.batch.Era)
+	if !accepted {
+		return
+	}
 	delete(c.newest, e.topic)
 	if e.topic == platform.UpstreamsTopic {
 		present := make(map[string]bool, len(e.batch.Records))
@@ -27,12 +34,60 @@
 		}
 		for _, id := range c.roster.IDs() {
 			if !present[id] {
-				c.markMissing(now, id, e.recovered)
+				c.markMissing(now, id, e.recovered || restored)
 			}
 		}
 	}
-	c.applyRecords(now, e.topic, e.batch.Records, e.recovered, true)
+	records := e.batch.Records
+	if restored {
+		records = c.dropOutdated(now, e.topic, records)
+	}
+	c.applyRecords(now, e.topic, records, e.recovered || restored, true)
 	c.advanceOffset(now, e.topic, e.batch.Next, e.began)
+	if restored {
+		c.endListing(ctx, now, e.topic, records)
+	}
+}
+
+// applyRead applies records that this VM has read. It returns false if they are of another
+// era than the last listing of the topic.
+func (c *control) applyRead(now time.Time, e recordsRead) bool {
+	if !c.acceptEra(now, e.topic, e.batch.Era, string(e.topic)) {
+		return false
+	}
+	if e.recovered {
+		c.claimAfter = now
+	}
+	changed := c.applyRecords(now, e.topic, e.batch.Records, e.recovered, false)
+	c.advanceOffset(now, e.topic, e.batch.Next, e.began)
+	c.forward(e, changed)
+	return true
+}
+
+// dropOutdated returns the records of a listing without those that the store's copy has
+// only because it is older than what this VM knows: entries of upstreams that are gone, and
+// crashes under requests that have run to their end since.
+func (c *control) dropOutdated(now time.Time, topic platform.Topic, records []platform.Record) []platform.Record {
+	return slices.DeleteFunc(slices.Clone(records), func(r platform.Record) bool {
+		switch topic {
+		case platform.UpstreamsTopic:
+			u, err := platform.DecodeUpstream(r)
+			return err == nil && c.roster.IsGone(now, u)
+		case platform.FleetTopic:
+			text, ok := strings.CutPrefix(r.Key, keyCrash)
+			if !ok {
+				return false
+			}
+			f, err := crash.ParseFingerprint(text)
+			if err != nil || !c.poison.complete.has(now, f) {
+				return false
+			}
+			c.poison.saved[f] = nil // the record is to be deleted
+			return true
+		default:
+			return false
+		}
+	})
 }
 
 // advanceOffset records the offset up to which a topic was read. began is the
@@ -160,9 +215,9 @@
 		if name == c.self.Name || r.Value == nil {
 			return
 		}
-		var vm gossip.VM
-		if err := json.Unmarshal(r.Value, &vm); err != nil {
-			c.logger.Warn("fleet: record is ignored", zap.String("key", r.Key), zap.Error(err))
+		vm, ok := decodeVM(r)
+		if !ok {
+			c.logger.Warn("fleet: record is ignored", zap.String("key", r.Key))
 			return
 		}
 		c.gossip.Apply(now, gossip.Update{VM: vm})
@@ -177,10 +232,19 @@
 		c.logger.Warn("fleet: record is ignored", zap.String("key", r.Key), zap.Error(err))
 		return
 	}
-	// The token is the offset plus 1, as offsets start at 0 and fencing tokens at
-	// 1.
-	if c.fence.Apply(now, r.Offset+1, claim) {
+	if c.fence.Apply(now, r.Offset, claim) {
+		active, _ := c.fence.Get(claim.Engine)
 		c.logger.Info("claim: in force", zap.String("upstream", claim.Engine), zap.String("vm", claim.VM),
-			zap.Int64("token", r.Offset+1), zap.Bool("free", claim.Released))
+			zap.Int64("token", active.Token), zap.Int64("era", claim.Era), zap.Bool("free", claim.Released))
 	}
 }
+
+// decodeVM decodes a VM's record of its own addresses. It returns false for any other
+// record.
+func decodeVM(r platform.Record) (gossip.VM, bool) {
+	var vm gossip.VM
+	if !strings.HasPrefix(r.Key, keyVM) || json.Unmarshal(r.Value, &vm) != nil {
+		return gossip.VM{}, false
+	}
+	return vm, true
+}
--- a/internal/edge/scheduling.go
+++ b/internal/edge/scheduling.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/tanagerlb/tanagerlb/pkg/cursor"
 	"github.com/tanagerlb/tanagerlb/pkg/engine"
 	"github.com/tanagerlb/tanagerlb/platform"
 )
@@ -53,31 +54,39 @@
 }
 
 func (c *control) handleProbe(now time.Time, from netip.AddrPort, p *probe) {
-	c.checkBehind(now, p.OperatorOffset)
+	c.noteEra(now, p.Operator.Era, "peer")
+	c.checkBehind(now, p.Operator)
 	changed := c.gossip.ApplyDirect(now, p.From)
 	c.askForCrashes(p.From.VM)
 	for _, u := range p.Updates {
 		changed = c.gossip.Apply(now, u) || changed
 	}
 	if !p.Reply {
-		c.transport.send(from, packet{Probe: &probe{From: c.gossip.Self(), Updates: c.gossip.Updates(), Reply: true, OperatorOffset: c.operatorOffset}})
+		reply := c.newProbe()
+		reply.Reply = true
+		c.transport.send(from, packet{Probe: reply})
 	}
 	if changed {
 		c.reconcile(now)
 	}
 }
 
+// newProbe returns a probe with this VM's gossip.
+func (c *control) newProbe() *probe {
+	return &probe{From: c.gossip.Self(), Updates: c.gossip.Updates(), Operator: cursor.Position{Era: c.storeEra.newest, Offset: c.operatorOffset}}
+}
+
 // checkBehind restarts the read of the operator topic if peers have been ahead of
 // this VM for more than behindTime, as the response to the read may have been
-// lost. next is the offset up to which a peer has read the topic.
-func (c *control) checkBehind(now time.Time, next int64) {
+// lost. next is the position up to which a peer has read the topic.
+func (c *control) checkBehind(now time.Time, next cursor.Position) {
 	switch {
-	case next <= c.operatorOffset:
+	case next.Compare(cursor.Position{Era: c.storeEra.newest, Offset: c.operatorOffset}) <= 0:
 		c.behindSince = time.Time{}
 	case c.behindSince.IsZero():
 		c.behindSince = now
 	case now.Sub(c.behindSince) > behindTime:
-		c.logger.Info("config: a peer has read more of the operator topic; reading again", zap.Int64("next", c.operatorOffset), zap.Int64("peer", next))
+		c.logger.Info("config: a peer has read more of the operator topic; reading again", zap.Int64("next", c.operatorOffset), zap.Int64("peer", next.Offset))
 		c.behindSince = now
 		c.feeds[platform.OperatorTopic].restart()
 	}
@@ -191,6 +200,10 @@
 	if !ok || h.token != e.token {
 		return
 	}
+	if e.misdirected {
+		c.noteMisdirected(now, e.engine)
+		return
+	}
 	if e.fenced {
 		// Another VM has claimed the engine; this VM has not read the claim yet.
 		h.scheduler.StopOrders()
@@ -199,11 +212,22 @@
 	c.schedule(ctx, now, e.engine, h)
 }
 
+// noteMisdirected handles that another upstream answers at an engine's address: the engine
+// is gone, whatever the store says.
+func (c *control) noteMisdirected(now time.Time, id string) {
+	c.markMissing(now, id, false)
+	c.reconcile(now)
+}
+
 func (c *control) reportDone(ctx context.Context, now time.Time, e reportDone) {
 	h, ok := c.held[e.engine]
 	if !ok || h.token != e.token {
 		return
 	}
+	if errors.Is(e.err, platform.ErrMisdirected) {
+		c.noteMisdirected(now, e.engine)
+		return
+	}
 	if e.err != nil {
 		c.logger.Info("engine: no report", zap.String("upstream", e.engine), zap.Error(e.err))
 		h.scheduler.PollFailed(now)
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -27,6 +27,7 @@
 // it knows of poison requests.
 type state struct {
 	Topics  map[platform.Topic][]platform.Record `msgpack:"t"`
+	Era     int64                                `msgpack:"e,omitempty"` // era of the store in which they were read
 	Crashes []crashRun                           `msgpack:"x,omitempty"` // crashes under requests, which the store may not have yet
 }
 
@@ -54,7 +55,7 @@
 
 // replyState replies with the state of this VM.
 func (c *control) replyState(now time.Time, reply chan<- state) {
-	s := state{Topics: map[platform.Topic][]platform.Record{}}
+	s := state{Topics: map[platform.Topic][]platform.Record{}, Era: c.storeEra.newest}
 	for topic, records := range c.newest {
 		for _, r := range records {
 			s.Topics[topic] = append(s.Topics[topic], r)
@@ -70,6 +71,10 @@
 	if c.table != nil {
 		return
 	}
+	if s.Era < c.storeEra.newest {
+		return
+	}
+	c.fence.BeginEra(s.Era, now.Add(c.lease()))
 	for topic, records := range s.Topics {
 		c.applyRecords(now, topic, records, true, true)
 	}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -55,6 +55,9 @@
 // RecordIgnored counts an invalid record that was read from a stream of the log.
 func (s *Set) RecordIgnored(stream string) { s.count("ignored_records", "stream", stream) }
 
+// StoreRestored counts that the platform's store came back from a copy.
+func (s *Set) StoreRestored() { s.set.GetOrCreateCounter("tanagerlb_store_restores_total").Inc() }
+
 // EngineOrder counts an order to an engine to load or unload an adapter, by its
 // result.
 func (s *Set) EngineOrder(order, result string) {
--- a/pkg/fence/fence.go
+++ b/pkg/fence/fence.go
@@ -4,12 +4,17 @@
 // claim on the condition that it has read all earlier records. So every claim in the
 // store is valid, and the newest one for an engine is in force. The position of a
 // claim in the store is its fencing token.
+//
+// The store may come back from an older copy, in a new era. A claim names the era in
+// which it was written, and only one of the present era lets a VM begin to hold an
+// engine: an older one may have been taken over by a claim that is gone.
 package fence
 
 import (
 	"slices"
 	"time"
 
+	"github.com/tanagerlb/tanagerlb/pkg/cursor"
 	"github.com/tanagerlb/tanagerlb/pkg/rank"
 )
 
@@ -18,6 +23,7 @@
 	Engine   string `json:"engine"`
 	VM       string `json:"vm"`
 	Boot     int64  `json:"boot"`           // start time of the VM's process, in Unix milliseconds
+	Era      int64  `json:"era,omitempty"`  // era of the store in which the VM wrote the claim; see cursor.Position
 	Released bool   `json:"free,omitempty"` // the VM releases the engine and sends no more orders
 }
 
@@ -25,32 +31,56 @@
 // releases the engine, its VM is the holder. Only the holder may send orders.
 type ActiveClaim struct {
 	Claim
-	Token    int64     // fencing token, which rises with each claim
-	Previous string    // previous holder; if no other VM held the engine, empty or the name of the claim's own VM
-	ReadAt   time.Time // time at which the local VM read the claim, or the first of several consecutive claims by the same VM
+	Position cursor.Position // era in which the claim was written, and its offset
+	Token    int64           // fencing token, which rises with each claim
+	Previous string          // previous holder; if no other VM held the engine, empty or the name of the claim's own VM
+	Unproven bool            // there may have been another holder, whose claim is gone
+	ReadAt   time.Time       // time at which the local VM read the claim, or the first of several consecutive claims by the same VM
 }
 
 // Table holds the claims in force. It is not safe for concurrent use.
-type Table struct{ claims map[string]ActiveClaim }
+type Table struct {
+	claims  map[string]ActiveClaim
+	era     int64     // present era of the store
+	settled time.Time // time from which on holders have written claims of this era, if they live
+}
 
 // New returns an empty table.
 func New() *Table { return &Table{claims: map[string]ActiveClaim{}} }
 
+// BeginEra tells the table the era of the store, before the first claim that was read in
+// it. Holders have written their claims again by the time settled. In era 0, which a store
+// that was never restored may have, nothing is gone.
+func (t *Table) BeginEra(era int64, settled time.Time) {
+	if era > t.era {
+		t.era, t.settled = era, settled
+	}
+}
+
 // Apply records a claim that was read from the store at the time now, and reports
 // whether the claim is new. A claim that is read again changes nothing.
-func (t *Table) Apply(now time.Time, token int64, c Claim) bool {
+func (t *Table) Apply(now time.Time, offset int64, c Claim) bool {
 	current, ok := t.claims[c.Engine]
-	if ok && token <= current.Token {
+	position := cursor.Position{Era: c.Era, Offset: offset}
+	if ok && position.Compare(current.Position) <= 0 {
 		return false
 	}
-	next := ActiveClaim{Claim: c, Token: token, Previous: current.VM, ReadAt: now}
+	next := ActiveClaim{Claim: c, Position: position, Token: position.Number(), Previous: current.VM, ReadAt: now}
+	// An older claim doesn't show who held the engine at the end of its era, unless it is
+	// by the same process, which then holds it still.
+	sameEra := ok && current.Position.Era == position.Era
+	sameProcess := ok && current.VM == c.VM && current.Boot == c.Boot
+	next.Unproven = !sameEra && !sameProcess && now.Before(t.settled)
 	if current.VM == c.VM {
 		// The same VM claims the engine again: the wait for the previous
 		// holder's lease still counts from the first of these claims.
-		next.Previous, next.ReadAt = current.Previous, current.ReadAt
+		next.Previous = current.Previous
 		if current.Previous == "" {
 			next.Previous = c.VM
 		}
+		if !next.Unproven {
+			next.ReadAt, next.Unproven = current.ReadAt, current.Unproven
+		}
 	}
 	t.claims[c.Engine] = next
 	return true
@@ -66,15 +96,32 @@
 func (t *Table) Remove(engine string) { delete(t.claims, engine) }
 
 // OrdersFrom returns the time from which the holder may send orders. After a
-// takeover from another VM, it is one lease after ReadAt, because the previous
-// holder may have sent an order just before the claim.
+// takeover from another VM, or from one that may have been, it is one lease after ReadAt,
+// because the previous holder may have sent an order just before the claim.
 func (a ActiveClaim) OrdersFrom(lease time.Duration) time.Time {
-	if a.Previous == "" || a.Previous == a.VM {
+	if !a.Unproven && (a.Previous == "" || a.Previous == a.VM) {
 		return a.ReadAt
 	}
 	return a.ReadAt.Add(lease)
 }
 
+// Present reports whether the claim was written in the present era of the store, so that
+// its VM may begin to hold the engine.
+func (t *Table) Present(a ActiveClaim) bool { return a.Position.Era == t.era }
+
+// Outdated returns the engines that self claimed in an earlier era, sorted by id: their
+// claims are to be written again.
+func (t *Table) Outdated(self VM) []string {
+	var engines []string
+	for id, a := range t.claims {
+		if a.VM == self.Name && a.Boot == self.Boot && !a.Released && a.Position.Era < t.era {
+			engines = append(engines, id)
+		}
+	}
+	slices.Sort(engines)
+	return engines
+}
+
 // VM identifies one run of the process of a VM that may claim engines.
 type VM struct {
 	Name string
--- a/pkg/fence/fence_test.go
+++ b/pkg/fence/fence_test.go
@@ -34,7 +34,7 @@
 			now := start
 			for i, claim := range c.claims {
 				now = start.Add(time.Duration(i) * time.Second)
-				is.True(table.Apply(now, int64(i+1), claim))
+				is.True(table.Apply(now, int64(i), claim))
 			}
 			h, ok := table.Get("e")
 			is.True(ok)
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -5,6 +5,7 @@
 package roster
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -67,10 +68,23 @@
 // Table holds the upstreams. It is not safe for concurrent use.
 type Table struct {
 	upstreams map[string]*upstreamState
+	gone      map[string]goneUpstream // upstreams that Expire dropped
 }
 
+// goneUpstream is what is remembered of an upstream that is gone.
+type goneUpstream struct {
+	Upstream
+	at time.Time
+}
+
+// goneTTL is how long an upstream that is gone is remembered. It is longer than the age
+// of a copy from which the store may come back.
+const goneTTL = 5 * time.Minute
+
 // New returns an empty table.
-func New() *Table { return &Table{upstreams: map[string]*upstreamState{}} }
+func New() *Table {
+	return &Table{upstreams: map[string]*upstreamState{}, gone: map[string]goneUpstream{}}
+}
 
 // Apply records an entry that was read, and returns its effect.
 func (t *Table) Apply(u Upstream) Change {
@@ -135,15 +149,27 @@
 // grace time, and returns them.
 func (t *Table) Expire(now time.Time) []Upstream {
 	var gone []Upstream
+	maps.DeleteFunc(t.gone, func(_ string, g goneUpstream) bool { return now.Sub(g.at) > goneTTL })
 	for id, s := range t.upstreams {
 		if !s.missingSince.IsZero() && !now.Before(s.expires) {
 			delete(t.upstreams, id)
+			t.gone[id] = goneUpstream{Upstream: s.Upstream, at: now}
 			gone = append(gone, s.Upstream)
 		}
 	}
 	return gone
 }
 
+// IsGone reports whether an entry says nothing new of an upstream that is gone: it was
+// written before the upstream went.
+func (t *Table) IsGone(now time.Time, u Upstream) bool {
+	g, ok := t.gone[u.ID]
+	if !ok || now.Sub(g.at) > goneTTL {
+		return false
+	}
+	return u.StartTime <= g.StartTime && u.AcceptedOrders <= g.AcceptedOrders
+}
+
 // Get returns the upstream with the given id, or false if the table has none.
 func (t *Table) Get(id string) (Upstream, bool) {
 	s, ok := t.upstreams[id]
