fix(edge): an upstream that left while other VMs read the store is gone

From the log of front-riga-c-24: the store didn't answer it from 4.0 s on, and it read again at 15.98 s, 3 s and more after the path was whole (followers back off for 3 s). Among what it read was the removal of 12.8 s; it took it for an entry that had lapsed in an outage, and gave the replica 2.5 s to register again.

The time to register again now counts from the end of the outage for the first of the VMs: probes tell for how long a VM has read the store and when it read last, and if a peer read in this VM's outage, the removal stands. Forwarded records carry the time that their sender gives. TestUpstreamThatLeftWhileOthersReadIsGone failed before.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -160,6 +160,7 @@
 	upstreamsOffset int64                                         // offset up to which records of the upstreams topic were applied
 	feeds           map[platform.Topic]*feed                      // readers of the store's topics
 	storeEra        storeEra
+	storeUptime     storeUptime
 	announce        *announceJob // writes this VM's addresses to the store; nil in tests
 	poison          *poison
 	loadLimiters    map[string]*loadLimiter // limits on loads of base models, by service
@@ -392,8 +393,9 @@
 // tick probes other VMs and checks for engines to claim.
 func (c *control) tick(ctx context.Context, now time.Time) {
 	probes, changed := c.gossip.Tick(now)
+	c.updateBackoff(now)
 	for _, vm := range probes {
-		c.transport.send(vm.Peer, packet{Probe: c.newProbe()})
+		c.transport.send(vm.Peer, packet{Probe: c.newProbe(now)})
 	}
 	for _, u := range changed {
 		c.logger.Info("peer: "+u.Status.String(), zap.String("vm", u.VM.Name), zap.Int64("boot", u.VM.Boot))
--- a/internal/edge/crash_records_test.go
+++ b/internal/edge/crash_records_test.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	next.applyRecords(now, platform.FleetTopic, batch.Records, false, true)
+	next.applyRecords(now, platform.FleetTopic, batch.Records, origin{listing: true})
 	return next
 }
 
--- a/internal/edge/crash_sharing_test.go
+++ b/internal/edge/crash_sharing_test.go
@@ -130,7 +130,7 @@
 			vm.save(t, now)
 			batch, err := vm.store.Newest(t.Context(), platform.FleetTopic)
 			is.NoErr(err)
-			vm.applyRecords(now, platform.FleetTopic, batch.Records, false, true)
+			vm.applyRecords(now, platform.FleetTopic, batch.Records, origin{listing: true})
 		}
 	}
 	is.Equal(len(first.restart(t, now).poison.tracker.Runs(7)), 4)
@@ -157,7 +157,7 @@
 			vm.save(t, now)
 			batch, err := vm.store.Newest(t.Context(), platform.FleetTopic)
 			is.NoErr(err)
-			vm.applyRecords(now, platform.FleetTopic, batch.Records, false, true)
+			vm.applyRecords(now, platform.FleetTopic, batch.Records, origin{listing: true})
 		}
 	}
 	is.True(store.Appends() <= len(vms)) // each once, before it has read what the other wrote
--- a/internal/edge/feed.go
+++ b/internal/edge/feed.go
@@ -21,18 +21,22 @@
 	wait           time.Duration // longest wait of a read for new records
 	interval       time.Duration // interval between reads
 	mu             sync.Mutex
-	cancel         context.CancelFunc // cancels the read or sleep in progress
-	requested      bool               // the next read does not wait for records, and is posted even if empty
-	next           int64              // offset of the next read; -1 to list the whole topic
-	era            int64              // era of the store in which that offset holds
-	delay          time.Duration      // time to wait before the next listing
-	forwards       atomic.Bool        // this VM forwards what it reads to its group
-	follows        atomic.Bool        // another VM forwards what it reads to this VM
-	slowRetry      atomic.Bool        // back off longer: other VMs detect the end of an outage
-	confirmsClaims bool               // reads are posted even if empty, since each one confirms claims
-	forwardedAt    time.Time          // time at which a peer last forwarded records
-	down           atomic.Bool        // the last read failed
-	onUp           func()             // called when a read succeeds after failures
+	cancel         context.CancelFunc        // cancels the read or sleep in progress
+	requested      bool                      // the next read does not wait for records, and is posted even if empty
+	next           int64                     // offset of the next read; -1 to list the whole topic
+	era            int64                     // era of the store in which that offset holds
+	delay          time.Duration             // time to wait before the next listing
+	forwards       atomic.Bool               // this VM forwards what it reads to its group
+	follows        atomic.Bool               // another VM forwards what it reads to this VM
+	followsRole    atomic.Bool               // another VM forwards topics to this VM, not necessarily this one
+	slowRetry      atomic.Bool               // back off longer: other VMs detect the end of an outage
+	confirmsClaims bool                      // reads are posted even if empty, since each one confirms claims
+	forwardedAt    time.Time                 // time at which a peer last forwarded records
+	down           atomic.Bool               // the last read failed
+	upSince        atomic.Pointer[time.Time] // time from which on no read has failed; nil before the first
+	readAt         atomic.Pointer[time.Time] // time of the last successful read; nil before the first
+	downSince      atomic.Pointer[time.Time] // time of the first failure of the last outage; nil for none
+	onUp           func()                    // called when a read succeeds after failures
 }
 
 // topicListing carries the newest record of each key of a topic.
@@ -275,6 +279,8 @@
 
 func (f *feed) markDown(err error) {
 	if !f.down.Swap(true) {
+		now := time.Now()
+		f.downSince.Store(&now)
 		f.logger.Warn("store: read failed", zap.String("topic", string(f.topic)), zap.Error(err))
 	}
 	f.store.CloseIdle()
@@ -283,6 +289,10 @@
 // markUp records a successful call, and reports whether earlier calls had failed.
 func (f *feed) markUp() bool {
 	wasDown := f.down.Swap(false)
+	now := time.Now()
+	if f.readAt.Store(&now); wasDown || f.upSince.Load() == nil {
+		f.upSince.Store(&now)
+	}
 	if wasDown {
 		f.logger.Info("store: read succeeded again", zap.String("topic", string(f.topic)))
 		if f.onUp != nil {
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -55,17 +55,19 @@
 // forward sets the current role in the feeds and, if this VM forwards, sends the
 // records of a read to the other members of its group. A member that receives
 // nothing reads the store itself.
-func (c *control) forward(e recordsRead, records []platform.Record) {
+func (c *control) forward(e recordsRead, records []platform.Record, grace time.Duration) {
 	r := c.currentRole()
 	for t, f := range c.feeds {
 		f.forwards.Store(r.forwards && (r.large || t == platform.UpstreamsTopic))
 		f.follows.Store(r.follows && t != platform.UpstreamsTopic)
+		f.followsRole.Store(r.follows)
 		f.slowRetry.Store(r.follows)
 	}
 	if !r.forwards || (e.topic != platform.UpstreamsTopic && !r.large) {
 		return
 	}
 	for _, l := range splitRecords(e, records) {
+		l.Grace = grace
 		c.sendAll(r.members, l)
 	}
 	if e.topic != platform.UpstreamsTopic || !r.large {
@@ -140,7 +142,7 @@
 		}
 		return
 	}
-	c.applyRecords(now, l.Topic, l.Records, l.Recovered, false)
+	c.applyRecords(now, l.Topic, l.Records, origin{recovered: l.Recovered, grace: l.Grace})
 	c.advanceOffset(now, l.Topic, l.Next, 0)
 	if len(l.Records) > 0 {
 		c.reconcile(now)
--- a/internal/edge/forward_test.go
+++ b/internal/edge/forward_test.go
@@ -109,7 +109,7 @@
 		platform.OperatorTopic: {topic: platform.OperatorTopic, next: 5, cancel: func() { reads++ }}, platform.UpstreamsTopic: {next: -1}, platform.FleetTopic: {next: -1},
 	}
 	c.storeEra.topics[platform.OperatorTopic] = 0
-	c.forward(recordsRead{topic: platform.UpstreamsTopic}, nil) // sets the role of the VM in each feed
+	c.forward(recordsRead{topic: platform.UpstreamsTopic}, nil, 0) // sets the role of the VM in each feed
 	is.True(c.feeds[platform.OperatorTopic].follows.Load())
 	is.Equal(c.feeds[platform.OperatorTopic].nextInterval(), followInterval)
 
--- a/internal/edge/packet.go
+++ b/internal/edge/packet.go
@@ -36,6 +36,8 @@
 	From     gossip.Update   `msgpack:"f"`
 	Updates  []gossip.Update `msgpack:"n,omitempty"`
 	Reply    bool            `msgpack:"r,omitempty"` // this is the reply to a probe
+	Uptime   time.Duration   `msgpack:"u,omitempty"` // for how long the sender has read the store without a failure; 0 if its last read failed
+	ReadAge  time.Duration   `msgpack:"a,omitempty"` // time since its last read
 	Operator cursor.Position `msgpack:"o"`           // newest era that the sender knows of, and the offset up to which it has read the operator topic
 }
 
@@ -98,6 +100,7 @@
 	From      int64             `msgpack:"f"`
 	Next      int64             `msgpack:"n"`
 	Recovered bool              `msgpack:"a,omitempty"` // earlier reads of the sender had failed
+	Grace     time.Duration     `msgpack:"g,omitempty"` // how long upstreams whose entries are gone have to register again
 	Records   []platform.Record `msgpack:"r,omitempty"`
 }
 
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -168,7 +168,7 @@
 		vm.roster, vm.fence, vm.dispatcher = roster.New(), fence.New(), &dispatcher{}
 		vm.roster.Apply(roster.Upstream{ID: "e1", Draining: draining})
 		vm.noteBroken(t.Context(), start, brokenRun(7, "e1", start))
-		vm.markMissing(start, "e1", false)
+		vm.markMissing(start, "e1", 0)
 		vm.reconcile(start)
 		is.Equal(len(vm.poison.tracker.Runs(7)) == 0, draining)
 	}
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -26,6 +26,8 @@
 	if !accepted {
 		return
 	}
+	from := c.newOrigin(now, e.recovered || restored)
+	from.listing = true
 	delete(c.newest, e.topic)
 	if e.topic == platform.UpstreamsTopic {
 		present := make(map[string]bool, len(e.batch.Records))
@@ -34,7 +36,7 @@
 		}
 		for _, id := range c.roster.IDs() {
 			if !present[id] {
-				c.markMissing(now, id, e.recovered || restored)
+				c.markMissing(now, id, from.grace)
 			}
 		}
 	}
@@ -42,7 +44,7 @@
 	if restored {
 		records = c.dropOutdated(now, e.topic, records)
 	}
-	c.applyRecords(now, e.topic, records, e.recovered || restored, true)
+	c.applyRecords(now, e.topic, records, from)
 	c.advanceOffset(now, e.topic, e.batch.Next, e.began)
 	if restored {
 		c.endListing(ctx, now, e.topic, records)
@@ -58,9 +60,10 @@
 	if e.recovered {
 		c.claimAfter = now
 	}
-	changed := c.applyRecords(now, e.topic, e.batch.Records, e.recovered, false)
+	from := c.newOrigin(now, e.recovered)
+	changed := c.applyRecords(now, e.topic, e.batch.Records, from)
 	c.advanceOffset(now, e.topic, e.batch.Next, e.began)
-	c.forward(e, changed)
+	c.forward(e, changed, from.grace)
 	return true
 }
 
@@ -107,14 +110,28 @@
 	}
 }
 
-// applyRecords applies records of a topic. The records may be old if recovered is
-// set (earlier reads had failed) or if listing is set (they come from a listing or
-// from a peer's state). It returns the records to forward to the group; of the
+// origin tells how records were read.
+type origin struct {
+	recovered bool          // earlier reads had failed, so that they may be old
+	listing   bool          // they come from a listing or from a peer's state, so that they may be old
+	grace     time.Duration // how long upstreams whose entries are gone have to register again
+}
+
+// newOrigin returns the origin of records that this VM has just read.
+func (c *control) newOrigin(now time.Time, recovered bool) origin {
+	from := origin{recovered: recovered}
+	if recovered {
+		from.grace = c.reregisterTime(now)
+	}
+	return from
+}
+
+// applyRecords applies records of a topic. It returns the records to forward to the group; of the
 // upstreams topic, these are only the records that changed the roster.
-func (c *control) applyRecords(now time.Time, topic platform.Topic, records []platform.Record, recovered, listing bool) []platform.Record {
+func (c *control) applyRecords(now time.Time, topic platform.Topic, records []platform.Record, from origin) []platform.Record {
 	var changed []platform.Record
 	publishedAt := now
-	if recovered || listing {
+	if from.recovered || from.listing {
 		publishedAt = now.Add(-c.settings.Bounds.Versions)
 	}
 	for _, r := range records {
@@ -124,11 +141,11 @@
 			c.applyOperator(publishedAt, r)
 			changed = append(changed, r)
 		case platform.UpstreamsTopic:
-			if !listing && r.Offset < c.upstreamsOffset {
+			if !from.listing && r.Offset < c.upstreamsOffset {
 				continue // applied before, as a peer forwarded it
 			}
 			c.upstreamsOffset = max(c.upstreamsOffset, r.Offset+1)
-			if c.applyUpstream(now, r, recovered) {
+			if c.applyUpstream(now, r, from.grace) {
 				changed = append(changed, r)
 			}
 		case platform.FleetTopic:
@@ -173,16 +190,16 @@
 // applyUpstream applies an upstream's entry, and reports whether to forward it.
 // It returns false for an entry of an earlier run of the upstream, and for an
 // entry that changes nothing or only the loaded adapters.
-func (c *control) applyUpstream(now time.Time, r platform.Record, recovered bool) bool {
+func (c *control) applyUpstream(now time.Time, r platform.Record, grace time.Duration) bool {
 	if r.Value == nil {
-		c.markMissing(now, r.Key, recovered)
+		c.markMissing(now, r.Key, grace)
 		return true
 	}
 	u, err := platform.DecodeUpstream(r)
 	if err != nil {
 		c.metrics.RecordIgnored("upstreams")
 		c.logger.Info("upstream: entry is ignored", zap.Int64("offset", r.Offset), zap.Error(err))
-		c.markMissing(now, r.Key, false)
+		c.markMissing(now, r.Key, 0)
 		return true
 	}
 	change := c.roster.Apply(u)
@@ -198,13 +215,8 @@
 	return true
 }
 
-// markMissing records that an upstream has no entry. If earlier reads of the store
-// had failed (recovered), the upstream gets a grace period to register again.
-func (c *control) markMissing(now time.Time, id string, recovered bool) {
-	grace := time.Duration(0)
-	if recovered {
-		grace = reregisterGrace
-	}
+// markMissing records that an upstream has no entry, and has a time to register again.
+func (c *control) markMissing(now time.Time, id string, grace time.Duration) {
 	if c.roster.MarkMissing(now, id, grace) {
 		c.logger.Info("upstream: entry is missing", zap.String("upstream", id), zap.Duration("grace", grace))
 	}
--- a/internal/edge/scheduling.go
+++ b/internal/edge/scheduling.go
@@ -55,6 +55,7 @@
 
 func (c *control) handleProbe(now time.Time, from netip.AddrPort, p *probe) {
 	c.noteEra(now, p.Operator.Era, "peer")
+	c.storeUptime.note(now, c.downSince(), p.Uptime, p.ReadAge)
 	c.checkBehind(now, p.Operator)
 	changed := c.gossip.ApplyDirect(now, p.From)
 	c.askForCrashes(p.From.VM)
@@ -62,7 +63,7 @@
 		changed = c.gossip.Apply(now, u) || changed
 	}
 	if !p.Reply {
-		reply := c.newProbe()
+		reply := c.newProbe(now)
 		reply.Reply = true
 		c.transport.send(from, packet{Probe: reply})
 	}
@@ -72,8 +73,9 @@
 }
 
 // newProbe returns a probe with this VM's gossip.
-func (c *control) newProbe() *probe {
-	return &probe{From: c.gossip.Self(), Updates: c.gossip.Updates(), Operator: cursor.Position{Era: c.storeEra.newest, Offset: c.operatorOffset}}
+func (c *control) newProbe(now time.Time) *probe {
+	uptime, age := c.ownUptime(now)
+	return &probe{From: c.gossip.Self(), Updates: c.gossip.Updates(), Uptime: uptime, ReadAge: age, Operator: cursor.Position{Era: c.storeEra.newest, Offset: c.operatorOffset}}
 }
 
 // checkBehind restarts the read of the operator topic if peers have been ahead of
@@ -215,7 +217,7 @@
 // noteMisdirected handles that another upstream answers at an engine's address: the engine
 // is gone, whatever the store says.
 func (c *control) noteMisdirected(now time.Time, id string) {
-	c.markMissing(now, id, false)
+	c.markMissing(now, id, 0)
 	c.reconcile(now)
 }
 
--- /dev/null
+++ b/internal/edge/uptime_test.go
@@ -0,0 +1,62 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tanagerlb/tanagerlb/pkg/gossip"
+	"github.com/tanagerlb/tanagerlb/pkg/roster"
+	"github.com/tanagerlb/tanagerlb/platform"
+)
+
+// Guards against requests to an upstream that has left, while a VM that the store did not
+// answer for a while takes its entry for one that lapsed in an outage (issue 18: DRAIN on
+// grown Riga).
+func TestUpstreamThatLeftWhileOthersReadIsGone(t *testing.T) {
+	const second = time.Second
+	for _, c := range []struct {
+		name            string
+		uptime, readAge time.Duration // of a peer, when this VM reads again 10 s after its first failure
+		gone            time.Duration // time until the upstream counts as gone
+	}{
+		{"a peer has read all the while", 20 * second, second, 0},
+		{"all were cut off, a peer reads again", second, second / 2, reregisterGrace - second},
+		{"a peer that is cut off too", 0, 0, reregisterGrace},
+		{"a peer that has not read since", 20 * second, 11 * second, reregisterGrace},
+		{"a peer that read only at the beginning", 20 * second, 9 * second, reregisterGrace},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			vms, _ := storeVMs(t, "a")
+			a := vms[0]
+			down, now := start.Add(time.Hour), start.Add(time.Hour+10*second)
+			a.feeds[platform.UpstreamsTopic].downSince.Store(&down)
+			a.roster.Apply(roster.Upstream{ID: "e", Service: "lm"})
+			a.storeEra.topics[platform.UpstreamsTopic] = 0
+			a.handleProbe(now, a.self.Peer, &probe{From: gossip.Update{VM: gossip.VM{Name: "b"}, Status: gossip.Alive}, Reply: true, Uptime: c.uptime, ReadAge: c.readAge})
+			batch := platform.Batch{Records: []platform.Record{{Key: "e", Offset: 5}}, Next: 6}
+			a.handle(t.Context(), now, recordsRead{topic: platform.UpstreamsTopic, from: 5, batch: batch, recovered: true})
+			if c.gone > 0 {
+				is.Equal(serving(a), []string{"e"})
+				a.reconcile(now.Add(c.gone - time.Millisecond))
+				is.Equal(serving(a), []string{"e"})
+			}
+			a.reconcile(now.Add(c.gone))
+			is.Equal(len(serving(a)), 0)
+		})
+	}
+}
+
+// A peer's uptime from before an outage says nothing of its end.
+func TestUptimeOfAnEarlierOutageIsForgotten(t *testing.T) {
+	is := is.New(t)
+	var u storeUptime
+	u.note(start, start.Add(-10*time.Second), time.Hour, 0)
+	_, known := u.returned()
+	is.True(known)
+	u.note(start.Add(20*time.Second), start.Add(15*time.Second), 0, 0)
+	_, known = u.returned()
+	is.True(!known)
+}
