--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -37,6 +37,7 @@
 // or a base model.
 type orderDone struct {
 	engine      string
+	held        *heldEngine // the engine as it was held when the order was sent
 	token       int64
 	action      engine.Action
 	result      engine.OrderResult
@@ -47,7 +48,7 @@
 // reportDone is the result of a request for an engine's status report.
 type reportDone struct {
 	engine string
-	token  int64
+	held   *heldEngine // the engine as it was held when the report was requested
 	report platform.Report
 	err    error
 }
--- a/internal/edge/eras_test.go
+++ b/internal/edge/eras_test.go
@@ -63,14 +63,22 @@
 	if !c.claiming {
 		c.claimEngines(t.Context(), now)
 	}
+	var others []event
 	for c.claiming {
-		if e, ok := (<-c.events).(claimDone); ok {
-			c.claiming = false
-			if e.err != nil {
-				t.Fatal(e.err)
-			}
+		e := <-c.events
+		done, ok := e.(claimDone)
+		if !ok {
+			others = append(others, e)
+			continue
+		}
+		c.claiming = false
+		if done.err != nil {
+			t.Fatal(done.err)
 		}
 	}
+	for _, e := range others {
+		c.post(e)
+	}
 }
 
 func putUpstream(store *emul.Store, id, state string, born int64) {
@@ -146,6 +154,9 @@
 	a.read(t, now, platform.FleetTopic, 0)
 	is.Equal(a.held["e"], held) // the schedule goes on
 	is.True(held.token > before)
+	is.Equal(len(held.scheduler.Next(now)), 0) // an order or a request for a report is on its way
+	a.handle(t.Context(), now, <-a.events)
+	is.True(len(held.scheduler.Next(now.Add(time.Minute))) > 0) // its result counts, although the token has risen
 	claim, _ := a.fence.Get("e")
 	is.True(!now.Before(claim.OrdersFrom(testLease)))
 }
@@ -374,7 +385,7 @@
 	a.writeClaims(t.Context(), []string{"e"}, anyOffset, false)
 	a.claim(t, start)
 	a.read(t, start, platform.FleetTopic, 0)
-	a.handle(t.Context(), start, reportDone{engine: "e", token: a.held["e"].token, err: platform.ErrMisdirected})
+	a.handle(t.Context(), start, reportDone{engine: "e", held: a.held["e"], err: platform.ErrMisdirected})
 	is.Equal(len(serving(a)), 0)
 	is.Equal(a.held["e"], nil)
 }
--- a/internal/edge/scheduling.go
+++ b/internal/edge/scheduling.go
@@ -147,7 +147,7 @@
 			continue
 		}
 		j := &orderJob{
-			engines: c.engines, post: c.post, logger: c.logger, engine: id, address: h.upstream.Address,
+			engines: c.engines, post: c.post, logger: c.logger, engine: id, held: h, address: h.upstream.Address,
 			token: h.token, holder: c.self.Name, action: a,
 		}
 		go j.run(ctx)
@@ -160,6 +160,7 @@
 	post    func(event)
 	logger  *zap.Logger
 	engine  string
+	held    *heldEngine
 	address netip.AddrPort
 	token   int64
 	holder  string
@@ -171,7 +172,7 @@
 	switch a := j.action.(type) {
 	case engine.Poll:
 		report, err := j.engines.Report(ctx, j.address, j.engine)
-		j.post(reportDone{engine: j.engine, token: j.token, report: report, err: err})
+		j.post(reportDone{engine: j.engine, held: j.held, report: report, err: err})
 		return
 	case engine.Load:
 		order.Model, order.Adapter, order.Version, order.ExpectedOrders = a.Name.Model, a.Name.Adapter, a.Version, a.ExpectedOrders
@@ -192,22 +193,23 @@
 		zap.Bool("unload", order.Unload), zap.Int64("version", order.Version), zap.Int64("accepted", order.ExpectedOrders),
 		zap.Int64("token", j.token), zap.Bool("holds", inEffect), zap.Error(err))
 	j.post(orderDone{
-		engine: j.engine, token: j.token, action: j.action, result: result,
+		engine: j.engine, held: j.held, token: j.token, action: j.action, result: result,
 		fenced: errors.Is(err, platform.ErrFenced), misdirected: errors.Is(err, platform.ErrMisdirected),
 	})
 }
 
 func (c *control) orderDone(ctx context.Context, now time.Time, e orderDone) {
 	h, ok := c.held[e.engine]
-	if !ok || h.token != e.token {
+	if !ok || h != e.held {
 		return
 	}
 	if e.misdirected {
 		c.noteMisdirected(now, e.engine)
 		return
 	}
-	if e.fenced {
-		// Another VM has claimed the engine; this VM has not read the claim yet.
+	if e.fenced && e.token == h.token {
+		// Another VM has claimed the engine; this VM has not read the claim yet. An order
+		// with the token of this VM's claim before may come after one with the new token.
 		h.scheduler.StopOrders()
 	}
 	h.scheduler.OrderDone(now, e.action, e.result)
@@ -223,7 +225,7 @@
 
 func (c *control) reportDone(ctx context.Context, now time.Time, e reportDone) {
 	h, ok := c.held[e.engine]
-	if !ok || h.token != e.token {
+	if !ok || h != e.held {
 		return
 	}
 	if errors.Is(e.err, platform.ErrMisdirected) {
--- a/internal/testlib/proxy.go
+++ b/internal/testlib/proxy.go
@@ -40,10 +40,15 @@
 	bytes    atomic.Int64
 }
 
+// proxyAddress is the address of all proxies. It is not the one from which connections
+// are opened by default, as one of these may take the port of a proxy that is in mode
+// Down.
+const proxyAddress = "127.0.0.2:0"
+
 // NewProxy starts a proxy that runs until the test ends.
 func NewProxy(t testing.TB, target netip.AddrPort) *Proxy {
 	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", proxyAddress)
 	if err != nil {
 		t.Fatalf("listen for proxy: %v", err)
 	}
