--- a/internal/edge/bench_test.go
+++ b/internal/edge/bench_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/tanagerlb/tanagerlb/internal/metric"
 	"github.com/tanagerlb/tanagerlb/internal/relay"
 	"github.com/tanagerlb/tanagerlb/pkg/crash"
 	"github.com/tanagerlb/tanagerlb/pkg/engine"
@@ -16,6 +18,7 @@
 	"github.com/tanagerlb/tanagerlb/pkg/gossip"
 	"github.com/tanagerlb/tanagerlb/pkg/roster"
 	"github.com/tanagerlb/tanagerlb/pkg/route"
+	"github.com/tanagerlb/tanagerlb/platform"
 )
 
 // sizes are fleet sizes, up to those expected two years from now.
@@ -28,7 +31,9 @@
 	c := &control{
 		self: self, logger: zap.NewNop(), roster: roster.New(), fence: fence.New(), versions: map[engine.Name]engine.Version{},
 		held: map[string]*heldEngine{}, gossip: gossip.New(gossip.Config{MaxUpdates: 6, MaxTickGap: time.Hour, ProbeTimeout: time.Hour}, self),
-		table: route.New(route.Config{Version: 1, Services: []route.Service{{Name: "s", Engine: &route.Engine{}}}}),
+		newest: map[platform.Topic]map[string]platform.Record{}, poison: newPoison(), metrics: metric.New(),
+		storeEra: storeEra{topics: map[platform.Topic]int64{}},
+		table:    route.New(route.Config{Version: 1, Services: []route.Service{{Name: "s", Engine: &route.Engine{}}}}),
 	}
 	c.dispatcher = newDispatcher(self, nil, nil, zap.NewNop())
 	for i := 1; i < vms; i++ {
@@ -145,3 +150,31 @@
 		})
 	}
 }
+
+// BenchmarkRestore measures what a VM does when the store has come back from a copy: it
+// lists the upstreams' and the fleet's topic again, and finds the claims that it has to
+// renew.
+func BenchmarkRestore(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("vms=%d/engines=%d", s.vms, s.engines), func(b *testing.B) {
+			c := newFleetControl(s.vms, s.engines)
+			var entries, claims []platform.Record
+			for i, u := range c.roster.IDs() {
+				entries = append(entries, platform.Record{Offset: int64(i), Key: u, Value: fmt.Appendf(nil, `{"service":"s","address":"10.0.0.1:9","state":"ready","models":[{"name":"m","adapters":["a1@1","a2@1","a3@1","a4@1","a5@1","a6@1","a7@1"]}]}`)})
+				claims = append(claims, platform.Record{Offset: int64(i), Key: keyClaim + u, Value: fmt.Appendf(nil, `{"engine":%q,"vm":"vm-%d","boot":1}`, u, i%s.vms)})
+			}
+			bytes := 0
+			for _, r := range append(slices.Clone(entries), claims...) {
+				bytes += len(r.Key) + len(r.Value)
+			}
+			era := int64(0)
+			for b.Loop() {
+				era++
+				c.applyListing(b.Context(), start, topicListing{topic: platform.UpstreamsTopic, batch: platform.Batch{Records: entries, Era: era, Next: int64(s.engines)}})
+				c.applyListing(b.Context(), start, topicListing{topic: platform.FleetTopic, batch: platform.Batch{Records: claims, Era: era, Next: int64(s.engines)}})
+				c.fence.Outdated(fence.VM{Name: c.self.Name, Boot: c.self.Boot})
+			}
+			b.ReportMetric(float64(bytes), "bytes")
+		})
+	}
+}
