--- a/internal/edge/eras_test.go
+++ b/internal/edge/eras_test.go
@@ -286,6 +286,24 @@
 	}
 }
 
+// A read that waits for records beyond the new end must not wait on.
+func TestWaitingReadEndsWithTheEra(t *testing.T) {
+	is := is.New(t)
+	vm, store := vmWithStore(t)
+	events := make(chan event, 100)
+	f := &feed{topic: platform.FleetTopic, store: vm.store, post: func(e event) { events <- e }, logger: zap.NewNop(), wait: time.Hour}
+	copied := time.Now()
+	time.Sleep(time.Millisecond)
+	store.Put("keyed.fleet", "old", []byte("x"))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go f.loop(ctx)
+	is.Equal((<-events).(topicListing).batch.Next, int64(1))
+	store.Restore(copied)
+	f.beginEra(time.Now(), 1, 0) // another topic or a peer has shown the new era
+	is.Equal((<-events).(topicListing).batch, platform.Batch{Era: 1})
+}
+
 // A response of an earlier era that comes after a newer one changes nothing.
 func TestFeedIgnoresResponsesOfAnEarlierEra(t *testing.T) {
 	is := is.New(t)
