--- a/e2e/poison_kills_test.go
+++ b/e2e/poison_kills_test.go
@@ -42,14 +42,7 @@
 	}
 	end := time.Now().Add(callTime)
 	var wait sync.WaitGroup
-	wait.Go(func() {
-		for i := 0; time.Now().Before(end); i++ {
-			time.Sleep(killInterval)
-			vm := f.VMs[i%len(f.VMs)]
-			vm.Kill()
-			vm.Start()
-		}
-	})
+	wait.Go(func() { killInSeries(f, killInterval, end) })
 	for i := 0; time.Now().Before(end); i++ {
 		vm := f.VMs[i%len(f.VMs)]
 		wait.Go(func() { testlib.Complete(vm.Caller, "school-1", "arsenic", 10) })
--- a/e2e/retry_test.go
+++ b/e2e/retry_test.go
@@ -10,6 +10,16 @@
 	"github.com/tanagerlb/tanagerlb/internal/testlib"
 )
 
+// killInSeries kills one VM after the other, and starts it again at once, until end.
+func killInSeries(f *testlib.Fleet, interval time.Duration, end time.Time) {
+	for i := 0; time.Now().Before(end); i++ {
+		time.Sleep(interval)
+		vm := f.VMs[i%len(f.VMs)]
+		vm.Kill()
+		vm.Start()
+	}
+}
+
 // Guards against retries beyond the limit of all VMs together, because each process
 // starts with retries of its own (incident BUDGET with real processes). Each call
 // breaks off, and VMs are killed in series.
@@ -26,14 +36,7 @@
 	f.Service.SetFaults(stand.Faults{LoseAnswers: 1_000_000})
 	end := time.Now().Add(callTime)
 	var wait sync.WaitGroup
-	wait.Go(func() {
-		for i := 0; time.Now().Before(end); i++ {
-			time.Sleep(killInterval)
-			vm := f.VMs[i%len(f.VMs)]
-			vm.Kill()
-			vm.Start()
-		}
-	})
+	wait.Go(func() { killInSeries(f, killInterval, end) })
 	calls := 0
 	for ; time.Now().Before(end); calls++ {
 		vm, headers := f.VMs[calls%len(f.VMs)], map[string]string{"Idempotency-Key": fmt.Sprintf("call-%06d", calls)}
--- a/internal/edge/eras_test.go
+++ b/internal/edge/eras_test.go
@@ -85,25 +85,31 @@
 	store.Put("keyed.servers", id, fmt.Appendf(nil, `{"service":"lm","address":"127.0.0.1:9","state":%q,"born":%d}`, state, born))
 }
 
-// Guards against a fencing token that is given out twice, when the store comes back from a
-// copy without the claim that had it.
-func TestFencingTokensRiseAcrossARestore(t *testing.T) {
-	is := is.New(t)
+// claimAfterCopy returns two VMs with a store. The first one has claimed the engine e, which
+// a copy of the store that was made at the returned time lacks.
+func claimAfterCopy(t *testing.T, now time.Time) (a, b *control, store *emul.Store, copied time.Time) {
 	vms, store := storeVMs(t, "a", "b")
-	a, b := vms[0], vms[1]
 	putUpstream(store, "e", "ready", 1)
-	copied := time.Now()
+	copied = time.Now()
 	time.Sleep(time.Millisecond)
-	now := start.Add(10 * time.Second)
 	for _, vm := range vms {
 		vm.list(t, now, platform.UpstreamsTopic)
 		vm.list(t, now, platform.FleetTopic)
 	}
-	a.writeClaims(t.Context(), []string{"e"}, anyOffset, false)
-	a.claim(t, now)
+	vms[0].writeClaims(t.Context(), []string{"e"}, anyOffset, false)
+	vms[0].claim(t, now)
 	for _, vm := range vms {
 		vm.read(t, now, platform.FleetTopic, 0)
 	}
+	return vms[0], vms[1], store, copied
+}
+
+// Guards against a fencing token that is given out twice, when the store comes back from a
+// copy without the claim that had it.
+func TestFencingTokensRiseAcrossARestore(t *testing.T) {
+	is := is.New(t)
+	now := start.Add(10 * time.Second)
+	a, b, store, copied := claimAfterCopy(t, now)
 	before := a.held["e"].token
 	store.Restore(copied)
 	putUpstream(store, "e", "ready", 1)
@@ -126,21 +132,8 @@
 // A holder whose claim is gone writes it again and goes on, with a higher token.
 func TestHolderRenewsItsClaimAfterARestore(t *testing.T) {
 	is := is.New(t)
-	vms, store := storeVMs(t, "a", "b")
-	a, b := vms[0], vms[1]
-	putUpstream(store, "e", "ready", 1)
-	copied := time.Now()
-	time.Sleep(time.Millisecond)
 	now := start.Add(10 * time.Second)
-	for _, vm := range vms {
-		vm.list(t, now, platform.UpstreamsTopic)
-		vm.list(t, now, platform.FleetTopic)
-	}
-	a.writeClaims(t.Context(), []string{"e"}, anyOffset, false)
-	a.claim(t, now)
-	for _, vm := range vms {
-		vm.read(t, now, platform.FleetTopic, 0)
-	}
+	a, b, store, copied := claimAfterCopy(t, now)
 	held := a.held["e"]
 	before := held.token
 	store.Restore(copied)
