fix(edge): a VM that starts lists the topics of a restored store once

The first response with an era above 0 cancelled the listings that were under way. TestStartAfterARestoreListsOnce failed before.

--- a/internal/edge/eras.go
+++ b/internal/edge/eras.go
@@ -32,13 +32,13 @@
 	if era <= c.storeEra.newest {
 		return
 	}
-	first := len(c.storeEra.topics) == 0
 	old := c.storeEra.newest
 	c.storeEra.newest, c.storeEra.since, c.renewedAt = era, now, time.Time{}
-	if !first {
-		c.metrics.StoreRestored()
-		c.logger.Warn("store: came back from a copy; listing all topics", zap.Int64("old", old), zap.Int64("era", era), zap.String("source", source))
+	if len(c.storeEra.topics) == 0 { // this VM has just started, and its first listings are under way
+		return
 	}
+	c.metrics.StoreRestored()
+	c.logger.Warn("store: came back from a copy; listing all topics", zap.Int64("old", old), zap.Int64("era", era), zap.String("source", source))
 	for _, f := range c.feeds {
 		f.beginEra(now, era, rand.N(eraSpread)) //nolint:gosec // only spreads load
 	}
--- a/internal/edge/eras_test.go
+++ b/internal/edge/eras_test.go
@@ -297,6 +297,21 @@
 	is.Equal((<-events).(topicListing).batch, platform.Batch{Era: 1})
 }
 
+// A VM that starts must not list its topics twice because the store was restored before.
+func TestStartAfterARestoreListsOnce(t *testing.T) {
+	is := is.New(t)
+	vms, store := storeVMs(t, "a")
+	a := vms[0]
+	store.Restore(time.Now())
+	cancelled := 0
+	a.feeds[platform.FleetTopic].cancel = func() { cancelled++ }
+	a.list(t, start, platform.UpstreamsTopic)
+	is.Equal(cancelled, 0)
+	store.Restore(time.Now())
+	a.list(t, start, platform.UpstreamsTopic)
+	is.Equal(cancelled, 1)
+}
+
 // A response of an earlier era that comes after a newer one changes nothing.
 func TestFeedIgnoresResponsesOfAnEarlierEra(t *testing.T) {
 	is := is.New(t)
