--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -35,6 +35,9 @@
 // GaveUp counts a failed request, or a retry that was not allowed, by its reason.
 func (s *Set) GaveUp(reason string) { s.count("gave_up", "reason", reason) }
 
+// UpstreamLeft counts a request whose upstream had left by the time of the send.
+func (s *Set) UpstreamLeft(service string) { s.count("left_upstreams", "service", service) }
+
 // Answered counts a request that was answered completely, by its kind.
 func (s *Set) Answered(kind string) { s.count("done", "kind", kind) }
 
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -105,6 +105,7 @@
 		defer cancel()
 	}
 	request := x.outbound(platform.ForwardOptions{Upstream: u.ID, Timeout: time.Until(x.deadline)})
+	x.checkAvailable(u.ID)
 	run := x.beginRun(time.Now(), u)
 	e, err := x.config.Pool.Do(ctx, u.Address, request)
 	if err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,6 +46,12 @@
 	IDs       []string          // ids of Upstreams, in the same order
 }
 
+// Available reports whether an upstream of a service takes new requests.
+func (v *View) Available(service, id string) bool {
+	_, ok := slices.BinarySearch(v.UpstreamIDs[service], id)
+	return ok
+}
+
 // engines returns the engines to ask for a slot for a base model. It also returns a
 // spare engine, which may load the model if none of these engines has a free slot
 // in time, or nil if there is no spare engine.
@@ -264,6 +270,16 @@
 	}
 }
 
+// checkAvailable logs a send to an upstream that has left since the request began.
+func (x *exchange) checkAvailable(upstream string) {
+	if x.config.View().Available(x.service.Name, upstream) {
+		return
+	}
+	x.config.Metrics.UpstreamLeft(x.service.Name)
+	x.config.Logger.Warn("relay: sent to an upstream that has left", zap.String("request", x.call.ID), zap.String("upstream", upstream),
+		zap.Int("sends", x.sends), zap.Duration("after", time.Since(x.started)))
+}
+
 // creditBudget adds to the service's retry budget. It is called once for each
 // request, before the first attempt.
 func (x *exchange) creditBudget() {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -100,6 +100,7 @@
 // answer. It reports whether to try another engine.
 func (x *exchange) attempt(slot *Slot) bool {
 	x.sends++
+	x.checkAvailable(slot.Upstream.ID)
 	run := x.beginRun(time.Now(), slot.Upstream)
 	send := platform.ForwardOptions{
 		Upstream: slot.Upstream.ID, Timeout: time.Until(x.deadline), Version: slot.AdapterVersion, LastEventID: x.lastID,
