fix(relay): ask for the present upstreams before each send

Callers of a service whose replica left saw their requests go there until it ended, up to the whole time that a request lasts.

Cause: a request took one list of upstreams when its head arrived and used it for all of its sends: after a slow upload, an attempt at a silent upstream, a wait for a slot, and for a stream that is resumed seconds later. Nothing looked at the present list again.

TestUpstreamThatLeftGetsNoRequest failed in all of its four cases.

Now candidates come from the present view, and link.Pool asks once more when the connection is open, before the first byte. A send that is not made costs no attempt, no retry token, and counts neither against the upstream's health nor as a sign of a crash.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -106,6 +106,7 @@
 	Header      http.Header
 	Body        []byte
 	MaxIdleTime time.Duration // maximum time since the last use of a pooled connection; 0 for no limit
+	Confirm     func() error  // called when a connection is open; an error keeps the request from being sent; nil for no check
 }
 
 // Exchange is a request that was sent, with its answer. Close must be called when
@@ -127,6 +128,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if r.Confirm != nil {
+		if err := r.Confirm(); err != nil {
+			_ = c.Close()
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+	}
 	x := &Exchange{pool: p, address: address, conn: c, sent: make(chan error, 1)}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	w := &sender{conn: c, data: r.encode(), sent: x.sent}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -70,7 +70,7 @@
 			x.finish(u, r)
 			return
 		}
-		if len(tried) >= len(x.view.Upstreams[x.service.Name]) {
+		if len(tried) >= len(x.config.View().Upstreams[x.service.Name]) {
 			clear(tried)
 		}
 	}
@@ -79,7 +79,7 @@
 // pickUpstream chooses an upstream that has not been tried and counts the request
 // as in flight there. It returns false if no such upstream is available.
 func (x *exchange) pickUpstream(tried map[string]bool) (roster.Upstream, bool) {
-	upstreams := x.view.Upstreams[x.service.Name]
+	upstreams := x.config.View().Upstreams[x.service.Name]
 	candidates := make([]health.Candidate, len(upstreams))
 	for i, u := range upstreams {
 		candidates[i] = health.Candidate{ID: u.ID, Zone: u.Zone}
@@ -105,9 +105,12 @@
 		defer cancel()
 	}
 	request := x.outbound(platform.ForwardOptions{Upstream: u.ID, Timeout: time.Until(x.deadline)})
-	x.checkAvailable(u.ID)
 	run := x.beginRun(time.Now(), u)
 	e, err := x.config.Pool.Do(ctx, u.Address, request)
+	if errors.Is(err, errLeft) {
+		x.sends--
+		return result{outcome: health.Abandoned, reason: err.Error(), notRun: true}
+	}
 	if err != nil {
 		x.reportUnanswered(run, err)
 		return result{outcome: health.Failed, reason: err.Error(), notRun: errors.Is(err, link.ErrNotSent), status: http.StatusBadGateway}
@@ -142,6 +145,9 @@
 	if x.ctxDone() {
 		return false
 	}
+	if r.outcome == health.Abandoned {
+		return true // it was not sent
+	}
 	if r.notRun && r.outcome == health.Failed && x.sends < maxSends {
 		return true // no byte of the request reached the upstream, so the retry budget is not charged
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -160,8 +160,8 @@
 	body        []byte
 	started     time.Time
 	deadline    time.Time
-	ctx         context.Context //nolint:containedctx // has the lifetime of the request
-	view        *View
+	ctx         context.Context   //nolint:containedctx // has the lifetime of the request
+	view        *View             // at the arrival of the request; its configuration applies until the end
 	sends       int               // number of times that the request was sent to an upstream
 	mayHaveRun  bool              // an upstream may have run the request
 	headersSent bool              // status and headers were written to the caller
@@ -267,17 +267,23 @@
 	return link.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: platform.ForwardHeader(x.r.Header, o), Body: x.body,
+		Confirm: func() error { return x.confirm(o.Upstream) },
 	}
 }
 
-// checkAvailable logs a send to an upstream that has left since the request began.
-func (x *exchange) checkAvailable(upstream string) {
+// errLeft is the error of a send to an upstream that has left since it was chosen.
+var errLeft = errors.New("upstream has left")
+
+// confirm returns errLeft if an upstream takes no more requests. It is called right before
+// each send: the upstream may have been chosen seconds ago.
+func (x *exchange) confirm(upstream string) error {
 	if x.config.View().Available(x.service.Name, upstream) {
-		return
+		return nil
 	}
 	x.config.Metrics.UpstreamLeft(x.service.Name)
-	x.config.Logger.Warn("relay: sent to an upstream that has left", zap.String("request", x.call.ID), zap.String("upstream", upstream),
+	x.config.Logger.Info("relay: not sent to an upstream that has left", zap.String("request", x.call.ID), zap.String("upstream", upstream),
 		zap.Int("sends", x.sends), zap.Duration("after", time.Since(x.started)))
+	return errLeft
 }
 
 // creditBudget adds to the service's retry budget. It is called once for each
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -80,7 +80,7 @@
 	if objective <= 0 {
 		objective = time.Until(x.deadline)
 	}
-	group, spare := x.view.engines(x.service.Name, x.call.Model)
+	group, spare := x.config.View().engines(x.service.Name, x.call.Model)
 	return SlotRequest{
 		Service: x.service.Name, Engines: group.Upstreams, IDs: group.IDs, Spare: spare, Exclude: exclude,
 		Name: engine.Name{Model: x.call.Model, Adapter: x.call.Adapter}, PromptParts: x.call.PromptParts,
@@ -100,13 +100,17 @@
 // answer. It reports whether to try another engine.
 func (x *exchange) attempt(slot *Slot) bool {
 	x.sends++
-	x.checkAvailable(slot.Upstream.ID)
 	run := x.beginRun(time.Now(), slot.Upstream)
 	send := platform.ForwardOptions{
 		Upstream: slot.Upstream.ID, Timeout: time.Until(x.deadline), Version: slot.AdapterVersion, LastEventID: x.lastID,
 	}
 	request := x.outbound(send)
 	e, err := x.config.Pool.Do(x.ctx, slot.Upstream.Address, request)
+	if errors.Is(err, errLeft) {
+		x.sends--
+		slot.Release(engine.Done)
+		return true
+	}
 	if err != nil {
 		return x.handleUnanswered(slot, run, err)
 	}
