fix(edge): forward entries that differ from the ones before them in the store

Callers of a VM that had started after a restore of the store had their requests sent to a draining replica until its entry went.

Cause: the VM that reads the store for its group forwarded the entries that changed its own roster. One that knew of the draining before the store came back from a copy took the entry that is written again for old news; the others skip what it does not forward, as its offsets cover it.

An entry is now compared with the one before it in the store, which is the same for all VMs.

--- a/internal/edge/forward_test.go
+++ b/internal/edge/forward_test.go
@@ -124,3 +124,27 @@
 	is.Equal(reads, 1) // forwarded records were lost
 	is.Equal(c.operatorOffset, int64(6))
 }
+
+// Guards against an upstream that VMs which started after a restore of the store never learn
+// to be draining: the VM that reads for their group knew of it before, and did not forward
+// what was news only to them (incident DRAIN).
+func TestEntryWrittenAgainAfterARestoreIsForwarded(t *testing.T) {
+	is := is.New(t)
+	c := newGroupControl(3, "vm-000")
+	c.metrics, c.roster, c.newest = metric.New(), roster.New(), map[platform.Topic]map[string]platform.Record{}
+	entry := func(offset int64, state string) platform.Record {
+		return platform.Record{Offset: offset, Key: "u", Value: fmt.Appendf(nil, `{"service":"s","address":"127.0.0.1:9","state":%q}`, state)}
+	}
+	apply := func(r platform.Record) bool {
+		return len(c.applyRecords(start, platform.UpstreamsTopic, []platform.Record{r}, origin{})) > 0
+	}
+	is.True(apply(entry(5, "ready")))
+	is.True(apply(entry(6, "draining")))
+	is.True(!apply(entry(7, "draining"))) // a heartbeat
+
+	c.storeEra.topics[platform.UpstreamsTopic] = 0
+	copied := topicListing{topic: platform.UpstreamsTopic, batch: platform.Batch{Era: 1, Next: 6, Records: []platform.Record{entry(5, "ready")}}}
+	c.applyListing(t.Context(), start, copied)
+	is.True(apply(entry(6, "draining")))
+	is.True(!apply(entry(7, "draining")))
+}
--- a/internal/edge/packet.go
+++ b/internal/edge/packet.go
@@ -92,8 +92,8 @@
 
 // forwardedRecords carries the records of a topic that were read in an era, with the offsets From
 // (inclusive) to Next (exclusive), so that not every VM must read them from the
-// store. For the upstreams topic, it has only the records that changed the
-// sender's roster.
+// store. For the upstreams topic, it has only the records that differ
+// from the ones before them.
 type forwardedRecords struct {
 	Topic     platform.Topic    `msgpack:"t"`
 	Era       int64             `msgpack:"e,omitempty"`
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -30,6 +30,7 @@
 	from.listing = true
 	delete(c.newest, e.topic)
 	if e.topic == platform.UpstreamsTopic {
+		c.roster.ForgetEntries()
 		present := make(map[string]bool, len(e.batch.Records))
 		for _, r := range e.batch.Records {
 			present[r.Key] = r.Value != nil
@@ -127,7 +128,7 @@
 }
 
 // applyRecords applies records of a topic. It returns the records to forward to the group; of the
-// upstreams topic, these are only the records that changed the roster.
+// upstreams topic, these are only the records that differ from the ones before them.
 func (c *control) applyRecords(now time.Time, topic platform.Topic, records []platform.Record, from origin) []platform.Record {
 	var changed []platform.Record
 	publishedAt := now
@@ -187,24 +188,27 @@
 	}
 }
 
-// applyUpstream applies an upstream's entry, and reports whether to forward it.
-// It returns false for an entry of an earlier run of the upstream, and for an
-// entry that changes nothing or only the loaded adapters.
+// applyUpstream applies an upstream's entry, and reports whether to forward it: whether it
+// differs from the entry before it in the store. What it changes in this VM's roster does
+// not matter, as other VMs may know less: this VM may have read the same before the store
+// came back from a copy.
 func (c *control) applyUpstream(now time.Time, r platform.Record, grace time.Duration) bool {
 	if r.Value == nil {
 		c.markMissing(now, r.Key, grace)
-		return true
+		return c.roster.NoteEntry(r.Key, nil)
 	}
 	u, err := platform.DecodeUpstream(r)
 	if err != nil {
 		c.metrics.RecordIgnored("upstreams")
 		c.logger.Info("upstream: entry is ignored", zap.Int64("offset", r.Offset), zap.Error(err))
 		c.markMissing(now, r.Key, 0)
-		return true
+		return c.roster.NoteEntry(r.Key, &roster.Digest{})
 	}
+	digest := u.Digest()
+	differs := c.roster.NoteEntry(r.Key, &digest)
 	change := c.roster.Apply(u)
 	if change == roster.Unchanged || change == roster.Stale {
-		return false
+		return differs
 	}
 	c.logger.Info("upstream: "+change.String(), zap.String("upstream", u.ID), zap.String("service", u.Service),
 		zap.Stringer("address", u.Address), zap.Int64("offset", r.Offset), zap.Int64("born", u.StartTime))
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -38,6 +38,25 @@
 	Models         []Model
 }
 
+// Digest holds what an upstream's entry says beside its load, in a comparable form. It is
+// the zero value for an entry that cannot be read.
+type Digest struct {
+	Service   string
+	Address   netip.AddrPort
+	Draining  bool
+	StartTime int64
+	Models    string // names of the loaded base models
+}
+
+// Digest returns the digest of the upstream's entry.
+func (u Upstream) Digest() Digest {
+	names := make([]string, len(u.Models))
+	for i, m := range u.Models {
+		names[i] = m.Name
+	}
+	return Digest{Service: u.Service, Address: u.Address, Draining: u.Draining, StartTime: u.StartTime, Models: strings.Join(names, ",")}
+}
+
 // Change is the effect of an entry on the table.
 type Change int
 
@@ -69,6 +88,7 @@
 type Table struct {
 	upstreams map[string]*upstreamState
 	gone      map[string]goneUpstream // upstreams that Expire dropped
+	entries   map[string]Digest       // newest entry of each upstream in the store
 }
 
 // goneUpstream is what is remembered of an upstream that is gone.
@@ -83,9 +103,24 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{upstreams: map[string]*upstreamState{}, gone: map[string]goneUpstream{}}
+	return &Table{upstreams: map[string]*upstreamState{}, gone: map[string]goneUpstream{}, entries: map[string]Digest{}}
 }
 
+// NoteEntry records the newest entry of an upstream in the store, and reports whether it
+// differs from the one before. nil stands for no entry.
+func (t *Table) NoteEntry(id string, d *Digest) bool {
+	before, ok := t.entries[id]
+	if d == nil {
+		delete(t.entries, id)
+		return true
+	}
+	t.entries[id] = *d
+	return !ok || *d != before
+}
+
+// ForgetEntries forgets the entries that NoteEntry recorded, as the store is listed again.
+func (t *Table) ForgetEntries() { clear(t.entries) }
+
 // Apply records an entry that was read, and returns its effect.
 func (t *Table) Apply(u Upstream) Change {
 	s, ok := t.upstreams[u.ID]
@@ -106,7 +141,7 @@
 	drained := u.Draining && !s.Draining
 	u.Draining = u.Draining || s.Draining
 	updated := s.Address != u.Address || s.Service != u.Service
-	modelsChanged := !slices.EqualFunc(s.Models, u.Models, func(a, b Model) bool { return a.Name == b.Name })
+	modelsChanged := s.Digest().Models != u.Digest().Models
 	t.upstreams[u.ID] = &upstreamState{Upstream: u}
 	switch {
 	case drained:
