fix(edge): forwarded records count from their read, not from their arrival

TestForwardedRecordsPostponeAReadByTheirAge: before, the time of the arrival counted. Not seen in a run of real processes.

--- a/internal/edge/feed.go
+++ b/internal/edge/feed.go
@@ -31,7 +31,7 @@
 	followsRole    atomic.Bool               // another VM forwards topics to this VM, not necessarily this one
 	slowRetry      atomic.Bool               // back off longer: other VMs detect the end of an outage
 	confirmsClaims bool                      // reads are posted even if empty, since each one confirms claims
-	forwardedAt    time.Time                 // time at which a peer last forwarded records
+	forwardedAt    time.Time                 // time at which a peer last read records that it forwarded
 	down           atomic.Bool               // the last read failed
 	upSince        atomic.Pointer[time.Time] // time from which on no read has failed; nil before the first
 	readAt         atomic.Pointer[time.Time] // time of the last successful read; nil before the first
@@ -155,17 +155,20 @@
 	}
 }
 
-// skipTo accepts forwarded records of an era with the offsets from (inclusive) to next
+// skipTo accepts records that a peer read at a time and forwarded, of an era and with the offsets from (inclusive) to next
 // (exclusive): the next read starts at next. skipTo changes nothing and returns
 // false if the topic is not listed yet in that era, or if the records are older than those
 // read so far or leave a gap after them.
-func (f *feed) skipTo(now time.Time, era, from, next int64) bool {
+func (f *feed) skipTo(readAt time.Time, era, from, next int64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if era != f.era || f.next < 0 || from > f.next || next < f.next {
 		return false
 	}
-	f.next, f.forwardedAt = next, now
+	f.next = next
+	if readAt.After(f.forwardedAt) {
+		f.forwardedAt = readAt
+	}
 	return true
 }
 
@@ -303,7 +306,7 @@
 }
 
 // sleep waits for d before the next read. If a peer forwards records meanwhile,
-// sleep waits until d after their arrival.
+// sleep waits until d after it read them.
 func (f *feed) sleep(ctx context.Context, d time.Duration) {
 	until := time.Now().Add(d)
 	for left := d; left > 0 && ctx.Err() == nil; left = time.Until(until) {
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -67,7 +67,7 @@
 		return
 	}
 	for _, l := range splitRecords(e, records) {
-		l.Grace = grace
+		l.Grace, l.Age = grace, sinceBoot()-e.began
 		c.sendAll(r.members, l)
 	}
 	if e.topic != platform.UpstreamsTopic || !r.large {
@@ -136,7 +136,7 @@
 	if !c.acceptEra(now, l.Topic, l.Era, "peer") {
 		return
 	}
-	if !f.skipTo(now, l.Era, l.From, l.Next) {
+	if !f.skipTo(now.Add(-l.Age), l.Era, l.From, l.Next) {
 		if f.follows.Load() && f.hasGap(l.From) {
 			f.refresh()
 		}
--- a/internal/edge/forward_test.go
+++ b/internal/edge/forward_test.go
@@ -148,3 +148,21 @@
 	is.True(apply(entry(6, "draining")))
 	is.True(!apply(entry(7, "draining")))
 }
+
+// Guards against a VM that trusts what a slow peer forwards as if it were new, and so learns of
+// a draining upstream later than the interval between reads (incident DRAIN).
+func TestForwardedRecordsPostponeAReadByTheirAge(t *testing.T) {
+	is := is.New(t)
+	f := &feed{next: 10}
+	is.True(f.skipTo(start.Add(-700*time.Millisecond), 0, 10, 12))
+	is.Equal(f.forwardedAt, start.Add(-700*time.Millisecond))
+	is.True(f.skipTo(start.Add(-900*time.Millisecond), 0, 12, 13)) // read earlier, and arrived later
+	is.Equal(f.forwardedAt, start.Add(-700*time.Millisecond))
+
+	c := newGroupControl(3, "vm-001")
+	c.metrics, c.roster, c.newest = metric.New(), roster.New(), map[platform.Topic]map[string]platform.Record{}
+	f = &feed{next: 10}
+	c.feeds, c.storeEra.topics[platform.UpstreamsTopic] = map[platform.Topic]*feed{platform.UpstreamsTopic: f}, 0
+	c.applyForwarded(start, &forwardedRecords{Topic: platform.UpstreamsTopic, From: 10, Next: 12, Age: 800 * time.Millisecond})
+	is.Equal(f.forwardedAt, start.Add(-800*time.Millisecond))
+}
