--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -17,6 +17,7 @@
 	"github.com/tanagerlb/tanagerlb/pkg/engine"
 	"github.com/tanagerlb/tanagerlb/pkg/fence"
 	"github.com/tanagerlb/tanagerlb/pkg/gossip"
+	"github.com/tanagerlb/tanagerlb/pkg/pace"
 	"github.com/tanagerlb/tanagerlb/pkg/rank"
 	"github.com/tanagerlb/tanagerlb/pkg/roster"
 	"github.com/tanagerlb/tanagerlb/pkg/route"
@@ -164,6 +165,8 @@
 	storeUptime     storeUptime
 	announce        *announceJob // writes this VM's addresses to the store; nil in tests
 	poison          *poison
+	limits          *pace.Table // limits that upstreams name
+	pacer           *pacer
 	loadLimiters    map[string]*loadLimiter // limits on loads of base models, by service
 	confirmedAt     time.Duration           // start of the last read that covered all claims, as time since the boot of the machine
 	claiming        bool
@@ -261,6 +264,9 @@
 		return
 	case stateReceived:
 		c.applyState(now, e.state)
+	case limitObserved:
+		c.observeLimit(now, e.upstream, e.Observation, "answer")
+		return
 	case leave:
 		c.leave(ctx, now)
 	case reloaded:
--- /dev/null
+++ b/internal/relay/pacer.go
@@ -0,0 +1,23 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/tanagerlb/tanagerlb/pkg/pace"
+	"github.com/tanagerlb/tanagerlb/platform"
+)
+
+// Pacer keeps to the request rates that upstreams name.
+type Pacer interface {
+	// Observe records what an answer of an upstream says of its limit.
+	Observe(upstream string, o pace.Observation)
+}
+
+// observeLimit records what the head of an answer says of the upstream's limit. An answer
+// without the upstream's signature says nothing.
+func (x *exchange) observeLimit(r *sentRun, reply platform.ResponseInfo) {
+	if !reply.Signed && !reply.Limit.Named {
+		return
+	}
+	x.config.Pacer.Observe(r.upstream.ID, pace.Observation{Limit: reply.Limit, Sent: r.sent, At: time.Now()})
+}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -121,6 +121,7 @@
 		e.Close(time.Now(), false)
 		return result{outcome: health.Failed, reason: "answer to another request", status: http.StatusBadGateway}
 	}
+	x.observeLimit(run, reply)
 	body, err := io.ReadAll(io.LimitReader(e.Response.Body, maxAnswerBytes))
 	e.Close(time.Now(), err == nil)
 	switch {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -98,6 +98,7 @@
 	Retries      retry.Config
 	Health       health.Config
 	CrashTracker CrashTracker
+	Pacer        Pacer
 }
 
 // Handler is the HTTP handler for callers' requests. It keeps the health of the
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -116,10 +116,12 @@
 	}
 	run.note(time.Now())
 	reply := platform.ParseResponse(e.Response.StatusCode, e.Response.Header)
-	switch {
-	case reply.ID != "" && reply.ID != x.call.ID:
+	if reply.ID != "" && reply.ID != x.call.ID {
 		e.Close(time.Now(), false)
 		return x.handleBroken(slot, "answer to another request")
+	}
+	x.observeLimit(run, reply)
+	switch {
 	case reply.NotExecuted:
 		_, err := io.Copy(io.Discard, io.LimitReader(e.Response.Body, maxAnswerBytes))
 		e.Close(time.Now(), err == nil)
