fix(edge,engine,relay): keep to the limits that upstreams name, for all VMs together

A replica in need that names a limit got its usual share of the requests: 258 in 4 s from nine VMs where 27 are allowed, and its callers waited for answers of a replica that could not keep up.

The requests to such an upstream pass one gate (pkg/pace). Engines: the scheduler at the holder, which admits at the rate and counts the wait in its estimates, so that requests go to other engines or are refused at once. Other upstreams, and engines without a holder: a VM that rendezvous hashing chooses is asked by a datagram before each send; who has to wait gets a turn, which is the caller's Retry-After. A gate starts empty, so one that moves adds no burst. VMs tell each other of a limit when it changes and once a second while it is seen; a request for the gate carries it as well. It ends with an answer that does not name it, to a request sent after the last one that did, and when the upstream restarts or goes.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -17,7 +17,6 @@
 	"github.com/tanagerlb/tanagerlb/pkg/engine"
 	"github.com/tanagerlb/tanagerlb/pkg/fence"
 	"github.com/tanagerlb/tanagerlb/pkg/gossip"
-	"github.com/tanagerlb/tanagerlb/pkg/pace"
 	"github.com/tanagerlb/tanagerlb/pkg/rank"
 	"github.com/tanagerlb/tanagerlb/pkg/roster"
 	"github.com/tanagerlb/tanagerlb/pkg/route"
@@ -165,8 +164,7 @@
 	storeUptime     storeUptime
 	announce        *announceJob // writes this VM's addresses to the store; nil in tests
 	poison          *poison
-	limits          *pace.Table // limits that upstreams name
-	pacer           *pacer
+	limits          *limits
 	loadLimiters    map[string]*loadLimiter // limits on loads of base models, by service
 	confirmedAt     time.Duration           // start of the last read that covered all claims, as time since the boot of the machine
 	claiming        bool
@@ -265,7 +263,7 @@
 	case stateReceived:
 		c.applyState(now, e.state)
 	case limitObserved:
-		c.observeLimit(now, e.upstream, e.Observation, "answer")
+		c.handleLimit(now, e.upstream, e.Observation)
 		return
 	case leave:
 		c.leave(ctx, now)
@@ -293,6 +291,7 @@
 // current claims, upstreams and membership.
 func (c *control) reconcile(now time.Time) {
 	for _, u := range c.roster.Expire(now) {
+		c.forgetLimit(u.ID)
 		c.logger.Info("upstream: gone", zap.String("upstream", u.ID))
 		if u.Draining { // it left as planned
 			delete(c.poison.pending, u.ID)
@@ -375,6 +374,7 @@
 	for n, version := range c.versions {
 		h.scheduler.SetNewest(n, version)
 	}
+	h.scheduler.SetLimit(now, c.limits.table.Get(u.ID).Limit)
 	c.held[u.ID] = h
 	c.logger.Info("claim: engine is held", zap.String("upstream", u.ID), zap.Int64("token", claim.Token),
 		zap.String("before", claim.Previous), zap.Duration("orders", max(startAt.Sub(now), 0)))
--- a/internal/edge/dispatcher.go
+++ b/internal/edge/dispatcher.go
@@ -56,6 +56,7 @@
 	transport        *transport
 	post             func(event)
 	logger           *zap.Logger
+	takePace         func(ctx context.Context, upstream string) time.Duration // see relay.Pacer
 	fleet            atomic.Pointer[fleetInfo]
 	sequence         atomic.Uint64
 	mu               sync.Mutex
@@ -122,7 +123,7 @@
 		v := r.query(ctx, u, len(candidates) == 1, i == 0)
 		switch {
 		case v == nil:
-			if slot := r.directSlot(r.known, u, r.request); slot != nil {
+			if slot := r.directSlot(ctx, r.known, u, r.request); slot != nil {
 				return slot, refusal
 			}
 		case v.slot != nil:
@@ -135,7 +136,7 @@
 		}
 	}
 	if best == nil {
-		if slot := r.anyDirectSlot(); slot != nil {
+		if slot := r.anyDirectSlot(ctx); slot != nil {
 			return slot, refusal
 		}
 		return r.slotWithLoad(ctx, refusal)
@@ -183,14 +184,14 @@
 // holder. Engines have no holder after a restart of all VMs, for example. The
 // search starts at a random engine, so that the requests are spread across the
 // engines.
-func (r *reservationAttempt) anyDirectSlot() *relay.Slot {
+func (r *reservationAttempt) anyDirectSlot(ctx context.Context) *relay.Slot {
 	begin := rand.IntN(len(r.request.Engines) + 1) //nolint:gosec // only spreads load
 	for i := range r.request.Engines {
 		u := &r.request.Engines[(begin+i)%len(r.request.Engines)]
 		if _, held := r.known.vms[u.ID]; held || r.request.Exclude[u.ID] {
 			continue
 		}
-		if slot := r.directSlot(r.known, u, r.request); slot != nil {
+		if slot := r.directSlot(ctx, r.known, u, r.request); slot != nil {
 			r.tried = append(r.tried, u.ID+" without a holder")
 			return slot
 		}
@@ -320,17 +321,17 @@
 // and, if the request names an adapter, that adapter in a new enough version;
 // otherwise directSlot returns nil. If the engine has no holder, no VM can
 // order the adapter to be unloaded.
-func (d *dispatcher) directSlot(known *fleetInfo, u *roster.Upstream, request relay.SlotRequest) *relay.Slot {
+func (d *dispatcher) directSlot(ctx context.Context, known *fleetInfo, u *roster.Upstream, request relay.SlotRequest) *relay.Slot {
 	for _, m := range u.Models {
 		if m.Name != request.Name.Model {
 			continue
 		}
 		if request.Name.Adapter == "" {
-			return d.unreservedSlot(u, 0)
+			return d.unreservedSlot(ctx, u, 0)
 		}
 		for _, a := range m.Adapters {
 			if a.Name == request.Name.Adapter && a.Version >= known.versions[request.Name] {
-				return d.unreservedSlot(u, a.Version)
+				return d.unreservedSlot(ctx, u, a.Version)
 			}
 		}
 	}
@@ -338,8 +339,12 @@
 }
 
 // unreservedSlot returns a slot that no holder has granted; the holder of the
-// engine, if there is one, does not count it.
-func (d *dispatcher) unreservedSlot(u *roster.Upstream, version int64) *relay.Slot {
+// engine, if there is one, does not count it. It returns nil if the engine's limit does not
+// allow a request.
+func (d *dispatcher) unreservedSlot(ctx context.Context, u *roster.Upstream, version int64) *relay.Slot {
+	if d.takePace(ctx, u.ID) > 0 {
+		return nil
+	}
 	return &relay.Slot{Upstream: *u, AdapterVersion: version, FirstEvent: func(time.Duration) {}, Release: func(engine.Outcome) {}}
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -29,7 +29,6 @@
 	"github.com/tanagerlb/tanagerlb/pkg/fence"
 	"github.com/tanagerlb/tanagerlb/pkg/gossip"
 	"github.com/tanagerlb/tanagerlb/pkg/health"
-	"github.com/tanagerlb/tanagerlb/pkg/pace"
 	"github.com/tanagerlb/tanagerlb/pkg/retry"
 	"github.com/tanagerlb/tanagerlb/pkg/roster"
 	"github.com/tanagerlb/tanagerlb/platform"
@@ -99,7 +98,7 @@
 	v.handler = relay.New(relay.Config{
 		Zone: s.Zone, View: c.view.Load, Reserver: c.dispatcher, Pool: v.pool, Metrics: v.metrics, Logger: v.logger,
 		Retries:      retry.Config{MaxAttempts: 2, Phase: rand.Float64(), MaxNames: 1000}, //nolint:gosec // only spreads retries
-		CrashTracker: crashTracker{control: c}, Pacer: c.pacer, Health: health.Config{MaxFailures: 3, Ejection: 500 * time.Millisecond, MaxEjection: 2 * time.Second, LocalLimit: 3},
+		CrashTracker: crashTracker{control: c}, Pacer: c.limits.pacer, Health: health.Config{MaxFailures: 3, Ejection: 500 * time.Millisecond, MaxEjection: 2 * time.Second, LocalLimit: 3},
 	})
 	if err := v.listen(); err != nil {
 		return err
@@ -149,9 +148,10 @@
 			ProbeTimeout: 200 * time.Millisecond, SuspicionTimeout: time.Second, MaxUpdates: 6, MaxTickGap: 400 * time.Millisecond,
 		}, self),
 	}
-	c.limits, c.pacer = pace.NewTable(), newPacer(c.post)
 	c.announce = &announceJob{store: c.store, self: self, logger: v.logger}
+	c.limits = newLimits(newPacer(self, peers.send, c.post))
 	c.dispatcher = newDispatcher(self, peers, c.post, v.logger)
+	c.dispatcher.takePace = c.limits.pacer.Take
 	c.view.Store(&relay.View{})
 	c.directory.Store(&directory{self: self})
 	return c
@@ -209,6 +209,10 @@
 			v.control.dispatcher.handleReply(p.SlotReply)
 			continue
 		}
+		if p.PaceReply != nil {
+			v.control.limits.pacer.handleReply(p.PaceReply)
+			continue
+		}
 		v.control.post(packetReceived{from: from, packet: p})
 	}
 }
--- a/internal/edge/packet.go
+++ b/internal/edge/packet.go
@@ -28,6 +28,9 @@
 	BlockNotice *blockNotice      `msgpack:"y,omitempty"`
 	ClearNotice *clearNotice      `msgpack:"z,omitempty"`
 	CrashQuery  *crashQuery       `msgpack:"q,omitempty"`
+	PaceRequest *paceRequest      `msgpack:"t,omitempty"`
+	PaceReply   *paceReply        `msgpack:"u,omitempty"`
+	LimitNotice *limitNotice      `msgpack:"m,omitempty"`
 }
 
 // probe is a failure detector probe, or the reply to one. It carries membership
--- a/internal/edge/publish.go
+++ b/internal/edge/publish.go
@@ -92,6 +92,7 @@
 	}
 	known := &fleetInfo{vms: map[string]gossip.VM{}, versions: c.versionNumbers}
 	live := map[string]gossip.VM{c.self.Name: c.self}
+	pacing := map[string]gossip.VM{c.self.Name: c.self}
 	d := &directory{self: c.self, ready: c.table != nil && !c.leaving}
 	if d.ready {
 		d.vms = append(d.vms, c.self)
@@ -101,6 +102,7 @@
 			live[m.VM.Name] = m.VM
 		}
 		if m.Status == gossip.Alive {
+			pacing[m.VM.Name] = m.VM
 			d.vms = append(d.vms, m.VM)
 		}
 	}
@@ -110,6 +112,7 @@
 			known.vms[u.ID] = vm
 		}
 	}
+	c.limits.pacer.vms.Store(&pacing)
 	c.dispatcher.fleet.Store(known)
 	c.directory.Store(d)
 }
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -215,6 +215,7 @@
 	if change == roster.Restarted {
 		c.noteCrash(now, u.ID, time.UnixMilli(u.StartTime), learnedFromRestart)
 		delete(c.held, u.ID)
+		c.forgetLimit(u.ID)
 	}
 	return true
 }
--- a/internal/edge/scheduling.go
+++ b/internal/edge/scheduling.go
@@ -30,6 +30,12 @@
 		c.recordCrashes(now, p.BlockNotice.Runs)
 	case p.ClearNotice != nil:
 		c.clear(p.ClearNotice.Fingerprint)
+	case p.PaceRequest != nil:
+		c.handlePaceRequest(now, r.from, p.PaceRequest)
+	case p.PaceReply != nil:
+		c.limits.pacer.handleReply(p.PaceReply)
+	case p.LimitNotice != nil:
+		c.handleLimitNotice(now, p.LimitNotice.Limit)
 	case p.SlotReply != nil:
 		c.dispatcher.handleReply(p.SlotReply)
 	case p.SlotRequest != nil:
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -46,13 +48,23 @@
 // all upstreams have been tried, each may be tried again.
 func (x *exchange) forward() {
 	tried := map[string]bool{}
+	var last result
+	var lastUpstream string
 	for {
 		if remaining := x.blockedFor(); x.sends > 0 && remaining > 0 {
 			x.refuse(reasonPoison, remaining)
 			return
 		}
-		u, ok := x.pickUpstream(tried)
-		if !ok {
+		u, wait, ok := x.pickUpstream(tried)
+		switch {
+		case ok:
+		case last.response != nil:
+			x.finish(lastUpstream, last)
+			return
+		case wait > 0:
+			x.refuse("upstreams are at their limits", wait)
+			return
+		default:
 			x.refuse("no upstream", retryAfter)
 			return
 		}
@@ -67,32 +79,48 @@
 		tried[u.ID] = true
 		x.mayHaveRun = x.mayHaveRun || !r.notRun
 		if r.outcome == health.Success || !x.shouldResend(u, r) {
-			x.finish(u, r)
+			x.finish(u.ID, r)
 			return
 		}
+		if r.response != nil {
+			last, lastUpstream = r, u.ID
+		}
 		if len(tried) >= len(x.config.View().Upstreams[x.service.Name]) {
 			clear(tried)
 		}
 	}
 }
 
-// pickUpstream chooses an upstream that has not been tried and counts the request
-// as in flight there. It returns false if no such upstream is available.
-func (x *exchange) pickUpstream(tried map[string]bool) (roster.Upstream, bool) {
+// pickUpstream chooses an upstream that has not been tried and whose limit allows a request,
+// and counts the request as in flight there. It returns false if there is none, and after
+// what time to try again if that is because of limits.
+func (x *exchange) pickUpstream(tried map[string]bool) (u roster.Upstream, wait time.Duration, ok bool) {
 	upstreams := x.config.View().Upstreams[x.service.Name]
 	candidates := make([]health.Candidate, len(upstreams))
 	for i, u := range upstreams {
 		candidates[i] = health.Candidate{ID: u.ID, Zone: u.Zone}
 	}
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	id, ok := x.tracker.Pick(time.Now(), x.config.Zone, candidates, tried)
-	for _, u := range upstreams {
-		if u.ID == id {
-			return u, ok
+	skip := maps.Clone(tried)
+	for {
+		x.mu.Lock()
+		id, ok := x.tracker.Pick(time.Now(), x.config.Zone, candidates, skip)
+		x.mu.Unlock()
+		if !ok {
+			return roster.Upstream{}, wait, false
+		}
+		w := x.config.Pacer.Take(x.ctx, id)
+		if w <= 0 {
+			i := slices.IndexFunc(upstreams, func(u roster.Upstream) bool { return u.ID == id })
+			return upstreams[i], 0, true
 		}
+		if wait == 0 || w < wait {
+			wait = w
+		}
+		skip[id] = true
+		x.mu.Lock()
+		x.tracker.End(time.Now(), id, health.Abandoned, 0)
+		x.mu.Unlock()
 	}
-	return roster.Upstream{}, false
 }
 
 // send sends the request to an upstream once and reads the complete answer.
@@ -159,21 +187,21 @@
 }
 
 // finish answers the caller with the result of the last send.
-func (x *exchange) finish(u roster.Upstream, r result) {
+func (x *exchange) finish(upstream string, r result) {
 	switch {
 	case r.response != nil:
 		x.copyHeaders(r.response)
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
 		x.w.WriteHeader(r.status)
 		_, _ = x.w.Write(r.body) // fails only if the caller disconnected
-		x.recordAnswer(u.ID, r.status)
+		x.recordAnswer(upstream, r.status)
 	case r.notRun:
 		x.refuse(r.reason, retryAfter)
 	case x.ctxDone():
 		x.fail(http.StatusGatewayTimeout, "deadline passed at upstream")
 	default:
 		x.config.Logger.Info("relay: upstream failed", zap.String("request", x.call.ID),
-			zap.String("upstream", u.ID), zap.String("reason", r.reason))
+			zap.String("upstream", upstream), zap.String("reason", r.reason))
 		x.fail(http.StatusBadGateway, "upstream broke off")
 	}
 }
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -17,6 +17,7 @@
 
 	"github.com/tanagerlb/tanagerlb/pkg/call"
 	"github.com/tanagerlb/tanagerlb/pkg/demand"
+	"github.com/tanagerlb/tanagerlb/pkg/pace"
 )
 
 // Config describes an engine to its Scheduler: the capacity, the base models, the
@@ -161,13 +162,14 @@
 // Scheduler schedules one engine. Its methods must not be called concurrently.
 type Scheduler struct {
 	config         Config
-	ordersFrom     time.Time // no order is sent before this time
-	closed         bool      // the engine accepts no new requests
-	known          bool      // a report of the engine has been applied
-	orderPending   bool      // an order or the fetch of a report is in progress
-	acceptedOrders int64     // number of orders that the engine has accepted since its start
-	lastAcceptedAt time.Time // when the result of the last accepted order arrived
-	pollAt         time.Time // when the report is to be fetched; zero if no fetch is planned
+	ordersFrom     time.Time  // no order is sent before this time
+	closed         bool       // the engine accepts no new requests
+	gate           *pace.Gate // keeps to the rate that the engine names; nil if it names none
+	known          bool       // a report of the engine has been applied
+	orderPending   bool       // an order or the fetch of a report is in progress
+	acceptedOrders int64      // number of orders that the engine has accepted since its start
+	lastAcceptedAt time.Time  // when the result of the last accepted order arrived
+	pollAt         time.Time  // when the report is to be fetched; zero if no fetch is planned
 	models         map[string]bool
 	loadingModel   string               // base model that is being loaded
 	modelLoadStart time.Time            // when the load of the base model was ordered
@@ -329,9 +331,9 @@
 }
 
 // canAdmit reports whether the engine can start a request now: the model and adapter
-// are usable, a failing engine has no probe request in flight, and the batch, the
-// prefill window and the KV cache have room. An engine without requests in flight
-// always has room.
+// are usable, a failing engine has no probe request in flight, and the engine's limit on
+// the rate, the batch, the prefill window and the KV cache have room. The batch of an engine without
+// requests in flight always has room.
 func (s *Scheduler) canAdmit(now time.Time, r *Request) bool {
 	if !s.usable(now, r.Name) {
 		return false
@@ -339,6 +341,9 @@
 	if s.failures >= failureLimit && s.probeID != "" {
 		return false
 	}
+	if s.gate != nil && !s.gate.Open(now) {
+		return false
+	}
 	if len(s.inflight) == 0 {
 		return true
 	}
@@ -348,6 +353,9 @@
 }
 
 func (s *Scheduler) admit(now time.Time, r *Request) Admitted {
+	if s.gate != nil {
+		s.gate.Pass(now)
+	}
 	if a, ok := s.adapters[r.Name]; ok {
 		a.refs++
 		a.state, a.lastUsed = resident, now
@@ -456,6 +464,18 @@
 	}
 }
 
+// SetLimit sets the limit that the engine names on its requests per second.
+func (s *Scheduler) SetLimit(now time.Time, l pace.Limit) {
+	switch {
+	case !l.Named:
+		s.gate = nil
+	case s.gate == nil:
+		s.gate = pace.NewGate(now, l.Rate)
+	default:
+		s.gate.SetRate(now, l.Rate)
+	}
+}
+
 // Version is a version of an adapter that an operator published.
 type Version struct {
 	Number    int64
--- a/pkg/engine/estimate.go
+++ b/pkg/engine/estimate.go
@@ -67,7 +67,16 @@
 		}
 	}
 	ttft := s.ttft(r.prefill+prefillAhead) + s.batchWait(requestsAhead)
-	return ttft + s.loadDelay(now, r.Name)
+	return ttft + max(s.loadDelay(now, r.Name), s.limitWait(now, requestsAhead))
+}
+
+// limitWait returns the time until the engine's limit allows a request that has the given
+// number of queued requests ahead of it.
+func (s *Scheduler) limitWait(now time.Time, ahead int) time.Duration {
+	if s.gate == nil {
+		return 0
+	}
+	return s.gate.Wait(now, ahead)
 }
 
 // loadDelay returns the expected time until an adapter is usable: 0 if it is usable
@@ -196,7 +205,7 @@
 func (s *Scheduler) Usage(now time.Time) Usage {
 	u := Usage{
 		Running: len(s.inflight), Queued: len(s.queue), Adapters: len(s.adapters),
-		PrefillBacklog: s.prefillBacklog, Slowdown: s.slowdown, FirstTokenWait: s.ttft(0) + s.batchWait(len(s.queue)),
+		PrefillBacklog: s.prefillBacklog, Slowdown: s.slowdown, FirstTokenWait: s.ttft(0) + s.batchWait(len(s.queue)) + s.limitWait(now, len(s.queue)),
 	}
 	u.AdaptersLoading = s.loadCount(now)
 	for _, a := range s.adapters {
--- a/pkg/engine/next.go
+++ b/pkg/engine/next.go
@@ -47,7 +47,7 @@
 			actions = append(actions, Reply{ID: r.ID, Decision: Refused{Reason: Closed}})
 		case s.canAdmit(now, r):
 			actions = append(actions, Reply{ID: r.ID, Decision: s.admit(now, r)})
-		case now.Add(s.ttft(r.prefill)).After(s.usefulUntil(now, r)):
+		case now.Add(s.limitWait(now, len(waiting)) + s.ttft(r.prefill)).After(s.usefulUntil(now, r)):
 			actions = append(actions, Reply{ID: r.ID, Decision: Refused{Reason: TooLate, Wait: s.estimateTTFT(now, r)}})
 		default:
 			waiting = append(waiting, r)
--- a/pkg/pace/pace.go
+++ b/pkg/pace/pace.go
@@ -2,9 +2,7 @@
 // VMs together, for as long as the upstream names it in its answers.
 package pace
 
-import (
-	"time"
-)
+import "time"
 
 // Limit is what an answer says of its upstream's limit.
 type Limit struct {
@@ -43,15 +41,15 @@
 // Get returns the last observation of an upstream; the zero value if there is none.
 func (t *Table) Get(upstream string) Observation { return t.newest[upstream] }
 
-// Rates returns the named limits by upstream.
-func (t *Table) Rates() map[string]float64 {
-	rates := map[string]float64{}
+// Named returns the last observations of the upstreams that name a limit.
+func (t *Table) Named() map[string]Observation {
+	named := map[string]Observation{}
 	for upstream, o := range t.newest {
 		if o.Named {
-			rates[upstream] = o.Rate
+			named[upstream] = o
 		}
 	}
-	return rates
+	return named
 }
 
 // Forget drops an upstream that has restarted or is gone.
