fix(link): bound the head of an answer

An upstream in trouble may send a head, or informational answers, without end. The pool read them without a bound: 474 to 862 MB in a VM that may hold 284 (the users' measurement), and a safe request waited for it until its deadline.

TestBytesWithoutEnd failed in its three cases before. The bound holds for the head and all informational answers before it together.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -53,11 +53,33 @@
 type conn struct {
 	net.Conn
 	reader   *bufio.Reader
+	headLeft int       // number of bytes that may still be read before the head of the answer ends; negative after that
 	lastUsed time.Time // end of the last answer on this connection
 	expires  time.Time // time after which this connection must not be reused
 }
 
+// errHeadTooLong means that the head of an answer does not end.
+var errHeadTooLong = errors.New("head of the answer is too long")
+
+// Read implements io.Reader.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.headLeft == 0 {
+		return 0, errHeadTooLong
+	}
+	if c.headLeft > 0 {
+		p = p[:min(len(p), c.headLeft)]
+	}
+	n, err := c.Conn.Read(p)
+	if c.headLeft > 0 {
+		c.headLeft -= n
+	}
+	return n, err //nolint:wrapcheck // an io.Reader
+}
+
 const (
+	// maxHeadBytes limits the head of an answer, with the informational answers (1xx)
+	// before it.
+	maxHeadBytes = 64 << 10
 	// bufferSize is the size of a read buffer in bytes: enough for the headers of
 	// an answer or a few events. A request body that is longer than this is sent
 	// while the answer is read (see Do).
@@ -145,6 +167,7 @@
 		go w.run()
 	}
 	request := &http.Request{Method: r.Method, URL: &url.URL{Path: "/"}}
+	c.headLeft = maxHeadBytes
 	x.Response, err = http.ReadResponse(c.reader, request) //nolint:bodyclose // by Close
 	for err == nil && x.Response.StatusCode < http.StatusOK {
 		x.Response, err = http.ReadResponse(c.reader, request) //nolint:bodyclose // by Close
@@ -157,6 +180,7 @@
 		}
 		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
+	c.headLeft = -1
 	return x, nil
 }
 
@@ -249,7 +273,9 @@
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
 	p.opened()
-	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, bufferSize)}, nil
+	c := &conn{Conn: opened}
+	c.reader = bufio.NewReaderSize(c, bufferSize)
+	return c, nil
 }
 
 // Check opens a connection to the upstream at an address, and keeps it for later
