fix(relay): bound an event of a stream that has many short lines

The bound of 256 KiB was checked only at lines longer than the read buffer, so an event of short lines without an empty one grew without end.

TestBytesWithoutEnd/an_event_of_many_lines failed before.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -20,13 +20,14 @@
 // because it would take engine time from requests that can still be on time.
 const usefulFactor = 1.25
 
-// maxEventBytes limits the size of one event. The limit is checked only at lines
-// that are longer than the read buffer, so it does not apply to an event of short
-// lines.
+// maxEventBytes limits the size of one event.
 const maxEventBytes = 256 << 10
 
-// errPartialEvent is returned if a stream ends in the middle of an event.
-var errPartialEvent = errors.New("stream ended within an event")
+// Errors of readEvent.
+var (
+	errPartialEvent = errors.New("stream ended within an event")
+	errEventTooLong = errors.New("event is too long")
+)
 
 // generate reserves a slot at an engine, sends the request there and streams the
 // events to the caller. It does so again with another engine if attempt reports
@@ -306,7 +307,9 @@
 		line, err := r.ReadSlice('\n')
 		event = append(event, line...)
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && len(event) < maxEventBytes:
+		case len(event) > maxEventBytes:
+			return nil, "", errEventTooLong
+		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) > 0:
 			return nil, "", errPartialEvent
