fix(relay): an answer that is cut at the size limit is not whole

Now a longer one is a failed attempt, so the upstream is ejected and safe requests go to another; what is not needed is not read; and few long answers are read at once, for the sake of a small VM's memory.

--- /dev/null
+++ b/internal/relay/answer.go
@@ -0,0 +1,56 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/tanagerlb/tanagerlb/internal/link"
+)
+
+const (
+	// maxAnswerBytes limits the body of an answer that is not streamed: such an
+	// answer is read before it is passed on.
+	maxAnswerBytes = 8 << 20
+	// shortAnswerBytes is the size up to which any number of answers is read at once.
+	shortAnswerBytes = 64 << 10
+	// maxLongAnswers is the number of longer answers that are read at once, so that they
+	// fit in the memory of a small VM.
+	maxLongAnswers = 4
+)
+
+var errAnswerTooLong = errors.New("answer is too long")
+
+// readAnswer reads the body of an answer that is not streamed, and ends the exchange.
+func (x *exchange) readAnswer(e *link.Exchange) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(e.Response.Body, shortAnswerBytes))
+	if err == nil && len(body) == shortAnswerBytes {
+		body, err = x.readLongAnswer(body, e.Response.Body)
+	}
+	e.Close(time.Now(), err == nil)
+	if err != nil {
+		return nil, fmt.Errorf("read answer: %w", err)
+	}
+	return body, nil
+}
+
+// readLongAnswer reads the rest of an answer that begins with a text.
+func (x *exchange) readLongAnswer(begin []byte, body io.Reader) ([]byte, error) {
+	if err := x.longAnswers.Acquire(x.ctx, 1); err != nil {
+		return nil, err //nolint:wrapcheck // by readAnswer
+	}
+	defer x.longAnswers.Release(1)
+	rest, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes-shortAnswerBytes+1))
+	if err == nil && len(begin)+len(rest) > maxAnswerBytes {
+		err = errAnswerTooLong
+	}
+	return append(begin, rest...), err //nolint:wrapcheck // by readAnswer
+}
+
+// discard reads the short body of an answer that is not needed, so that its connection can be
+// reused, and ends the exchange.
+func discard(e *link.Exchange) {
+	n, err := io.Copy(io.Discard, io.LimitReader(e.Response.Body, shortAnswerBytes))
+	e.Close(time.Now(), err == nil && n < shortAnswerBytes)
+}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -20,9 +19,6 @@
 )
 
 const (
-	// maxAnswerBytes limits the body of an answer that is not streamed: such an
-	// answer is read before it is passed on, and cut off at this size.
-	maxAnswerBytes = 8 << 20
 	// attemptFactor times the route's objective is the time limit of one attempt
 	// at a safe request. The last attempt that the route allows has no such limit.
 	attemptFactor = 2
@@ -150,17 +146,19 @@
 		return result{outcome: health.Failed, reason: "answer to another request", status: http.StatusBadGateway}
 	}
 	x.observeLimit(run, reply)
-	body, err := io.ReadAll(io.LimitReader(e.Response.Body, maxAnswerBytes))
-	e.Close(time.Now(), err == nil)
 	switch {
-	case err != nil:
-		x.reportBroken(run, err)
-		return result{outcome: health.Failed, reason: "answer broke off", status: http.StatusBadGateway}
 	case reply.NotExecuted:
+		discard(e)
 		return result{outcome: health.Refused, reason: "upstream did not run it", notRun: true, status: http.StatusServiceUnavailable}
 	case !reply.Signed:
+		e.Close(time.Now(), false)
 		return result{outcome: health.Failed, reason: "answer bears no signature", status: http.StatusBadGateway}
 	}
+	body, err := x.readAnswer(e)
+	if err != nil {
+		x.reportBroken(run, err)
+		return result{outcome: health.Failed, reason: err.Error(), status: http.StatusBadGateway}
+	}
 	r := result{status: e.Response.StatusCode, response: e.Response, body: body}
 	if r.status >= http.StatusInternalServerError {
 		r.outcome, r.reason = health.ServerError, "upstream failed"
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/tanagerlb/tanagerlb/internal/link"
 	"github.com/tanagerlb/tanagerlb/internal/metric"
@@ -104,18 +105,19 @@
 // Handler is the HTTP handler for callers' requests. It keeps the health of the
 // upstreams and the retry budgets of the services.
 type Handler struct {
-	config    Config
-	draining  atomic.Bool
-	active    atomic.Int64
-	mu        sync.Mutex
-	tracker   *health.Tracker
-	budget    *retry.Budget
-	lifeSigns lifeSigns
+	config      Config
+	draining    atomic.Bool
+	active      atomic.Int64
+	mu          sync.Mutex
+	tracker     *health.Tracker
+	budget      *retry.Budget
+	lifeSigns   lifeSigns
+	longAnswers *semaphore.Weighted
 }
 
 // New returns a handler that has not yet recorded the results of any upstream.
 func New(c Config) *Handler {
-	return &Handler{config: c, tracker: health.New(c.Health), budget: retry.New(time.Now(), c.Retries), lifeSigns: lifeSigns{started: time.Now(), at: map[string]*lifeSign{}}}
+	return &Handler{config: c, tracker: health.New(c.Health), budget: retry.New(time.Now(), c.Retries), lifeSigns: lifeSigns{started: time.Now(), at: map[string]*lifeSign{}}, longAnswers: semaphore.NewWeighted(maxLongAnswers)}
 }
 
 // StartDrain makes the handler close the caller's connection after each further
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -124,8 +124,7 @@
 	x.observeLimit(run, reply)
 	switch {
 	case reply.NotExecuted:
-		_, err := io.Copy(io.Discard, io.LimitReader(e.Response.Body, maxAnswerBytes))
-		e.Close(time.Now(), err == nil)
+		discard(e)
 		return x.handleNotRun(slot, e.Response.StatusCode)
 	case e.Response.StatusCode >= http.StatusInternalServerError && x.retryElsewhere(slot, e):
 		return true
@@ -277,8 +276,7 @@
 // sendComplete reads an answer with a status other than 200, which is not an event
 // stream, and writes it to the caller. It reports whether to try another engine.
 func (x *exchange) sendComplete(slot *Slot, e *link.Exchange, run *sentRun) bool {
-	body, err := io.ReadAll(io.LimitReader(e.Response.Body, maxAnswerBytes))
-	e.Close(time.Now(), err == nil)
+	body, err := x.readAnswer(e)
 	if err != nil {
 		x.reportBroken(run, err)
 		return x.handleBroken(slot, "answer broke off")
