--- a/internal/edge/bench_test.go
+++ b/internal/edge/bench_test.go
@@ -16,6 +16,7 @@
 	"github.com/tanagerlb/tanagerlb/pkg/engine"
 	"github.com/tanagerlb/tanagerlb/pkg/fence"
 	"github.com/tanagerlb/tanagerlb/pkg/gossip"
+	"github.com/tanagerlb/tanagerlb/pkg/pace"
 	"github.com/tanagerlb/tanagerlb/pkg/roster"
 	"github.com/tanagerlb/tanagerlb/pkg/route"
 	"github.com/tanagerlb/tanagerlb/platform"
@@ -151,6 +152,29 @@
 	}
 }
 
+// BenchmarkGate measures what a request to an upstream that names a limit costs the VM that
+// asks for it, and the VM that keeps the gate.
+func BenchmarkGate(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("vms=%d", s.vms), func(b *testing.B) {
+			c := newFleetControl(s.vms, s.engines)
+			sender := netip.MustParseAddrPort("127.0.0.1:9")
+			c.limits.pacer.send = func(netip.AddrPort, packet) {}
+			c.observeLimit(start, "u", pace.Observation{Limit: pace.Limit{Named: true, Rate: 1e9}, Sent: start, At: start}, "test")
+			b.Run("ask", func(b *testing.B) {
+				for b.Loop() {
+					c.limits.pacer.keeper("u")
+				}
+			})
+			b.Run("keep", func(b *testing.B) {
+				for b.Loop() {
+					c.handlePaceRequest(start, sender, &paceRequest{ID: 1, Limit: upstreamLimit{Upstream: "u", Named: true, Rate: 1e9}})
+				}
+			})
+		})
+	}
+}
+
 // BenchmarkRestore measures what a VM does when the store has come back from a copy: it
 // lists the upstreams' and the fleet's topic again, and finds the claims that it has to
 // renew.
--- a/internal/edge/pacer.go
+++ b/internal/edge/pacer.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -113,14 +115,15 @@
 	return wait
 }
 
+// keeper returns the VM that keeps the gate of an upstream.
+func (p *pacer) keeper(upstream string) gossip.VM {
+	vms := *p.vms.Load()
+	return vms[rank.Top(upstream, slices.Collect(maps.Keys(vms)), 1)[0]]
+}
+
 // ask asks the VM that keeps an upstream's gate.
 func (p *pacer) ask(ctx context.Context, l upstreamLimit) time.Duration {
-	vms := *p.vms.Load()
-	names := make([]string, 0, len(vms))
-	for name := range vms {
-		names = append(names, name)
-	}
-	gate := vms[rank.Top(l.Upstream, names, 1)[0]]
+	keeper := p.keeper(l.Upstream)
 	id, reply := p.sequence.Add(1), make(chan time.Duration, 2)
 	p.mu.Lock()
 	p.pending[id] = reply
@@ -136,10 +139,10 @@
 	timeout := time.NewTimer(gateTimeout)
 	defer timeout.Stop()
 	for {
-		if gate.Name == p.self.Name {
+		if keeper.Name == p.self.Name {
 			p.post(packetReceived{packet: request})
 		} else {
-			p.send(gate.Peer, request)
+			p.send(keeper.Peer, request)
 		}
 		select {
 		case wait := <-reply:
