--- a/internal/edge/eras_test.go
+++ b/internal/edge/eras_test.go
@@ -81,15 +81,15 @@
 	}
 }
 
-func putUpstream(store *emul.Store, id, state string, born int64) {
-	store.Put("keyed.servers", id, fmt.Appendf(nil, `{"service":"lm","address":"127.0.0.1:9","state":%q,"born":%d}`, state, born))
+func putUpstream(store *emul.Store, id string, draining bool, startTime int64) {
+	store.Put(string(platform.UpstreamsTopic), id, emul.PlainEntry("lm", "127.0.0.1:9", startTime, draining))
 }
 
 // claimAfterCopy returns two VMs with a store. The first one has claimed the engine e, which
 // a copy of the store that was made at the returned time lacks.
 func claimAfterCopy(t *testing.T, now time.Time) (a, b *control, store *emul.Store, copied time.Time) {
 	vms, store := storeVMs(t, "a", "b")
-	putUpstream(store, "e", "ready", 1)
+	putUpstream(store, "e", false, 1)
 	copied = time.Now()
 	time.Sleep(time.Millisecond)
 	for _, vm := range vms {
@@ -112,7 +112,7 @@
 	a, b, store, copied := claimAfterCopy(t, now)
 	before := a.held["e"].token
 	store.Restore(copied)
-	putUpstream(store, "e", "ready", 1)
+	putUpstream(store, "e", false, 1)
 	b.writeClaims(t.Context(), []string{"e"}, anyOffset, false) // in the belief of the era before
 	b.claim(t, now)
 	b.list(t, now, platform.FleetTopic)
@@ -137,7 +137,7 @@
 	held := a.held["e"]
 	before := held.token
 	store.Restore(copied)
-	putUpstream(store, "e", "ready", 1)
+	putUpstream(store, "e", false, 1)
 	now = now.Add(time.Second)
 	b.list(t, now, platform.FleetTopic)
 	b.claim(t, now)
@@ -188,21 +188,21 @@
 	vms, store := storeVMs(t, "a")
 	a := vms[0]
 	for _, id := range []string{"drains", "leaves", "stays"} {
-		putUpstream(store, id, "ready", 1)
+		putUpstream(store, id, false, 1)
 	}
 	copied := time.Now()
 	time.Sleep(time.Millisecond)
-	putUpstream(store, "drains", "draining", 1)
+	putUpstream(store, "drains", true, 1)
 	a.list(t, start, platform.UpstreamsTopic)
-	store.Put("keyed.servers", "leaves", nil)
-	putUpstream(store, "new", "ready", 1)
+	store.Put(string(platform.UpstreamsTopic), "leaves", nil)
+	putUpstream(store, "new", false, 1)
 	a.read(t, start, platform.UpstreamsTopic, 4)
 	is.Equal(serving(a), []string{"new", "stays"})
 	store.Restore(copied)
 	now := start.Add(time.Second)
 	a.list(t, now, platform.UpstreamsTopic)
 	is.Equal(serving(a), []string{"new", "stays"}) // new is given time to come back
-	putUpstream(store, "leaves", "ready", 1)
+	putUpstream(store, "leaves", false, 1)
 	a.read(t, now, platform.UpstreamsTopic, 3)
 	is.Equal(serving(a), []string{"leaves", "new", "stays"}) // written after the restore
 	a.handle(t.Context(), now.Add(reregisterGrace), leave{})
@@ -254,7 +254,7 @@
 			copied := time.Now()
 			time.Sleep(time.Millisecond)
 			for i := range 5 {
-				store.Put("keyed.fleet", fmt.Sprint("old", i), []byte("x"))
+				store.Put(string(platform.FleetTopic), fmt.Sprint("old", i), []byte("x"))
 			}
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
@@ -263,7 +263,7 @@
 			store.SetFaults(emul.StoreFaults{Down: true})
 			store.Restore(copied)
 			for i := range c.after {
-				store.Put("keyed.fleet", fmt.Sprint("new", i), []byte("x"))
+				store.Put(string(platform.FleetTopic), fmt.Sprint("new", i), []byte("x"))
 			}
 			store.SetFaults(emul.StoreFaults{})
 			for {
@@ -287,7 +287,7 @@
 	f := &feed{topic: platform.FleetTopic, store: vm.store, post: func(e event) { events <- e }, logger: zap.NewNop(), wait: time.Hour}
 	copied := time.Now()
 	time.Sleep(time.Millisecond)
-	store.Put("keyed.fleet", "old", []byte("x"))
+	store.Put(string(platform.FleetTopic), "old", []byte("x"))
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go f.loop(ctx)
@@ -384,7 +384,7 @@
 	put := func(version int) {
 		value, err := json.Marshal(map[string]any{"version": version})
 		is.NoErr(err)
-		store.Put("keyed.op", "config", value)
+		store.Put(string(platform.OperatorTopic), "config", value)
 	}
 	put(1)
 	copied := time.Now()
@@ -405,7 +405,7 @@
 	is := is.New(t)
 	vms, store := storeVMs(t, "a")
 	a := vms[0]
-	putUpstream(store, "e", "ready", 1)
+	putUpstream(store, "e", false, 1)
 	a.list(t, start, platform.UpstreamsTopic)
 	a.list(t, start, platform.FleetTopic)
 	a.writeClaims(t.Context(), []string{"e"}, anyOffset, false)
--- a/internal/edge/forward_test.go
+++ b/internal/edge/forward_test.go
@@ -17,6 +17,7 @@
 	"github.com/tanagerlb/tanagerlb/pkg/gossip"
 	"github.com/tanagerlb/tanagerlb/pkg/roster"
 	"github.com/tanagerlb/tanagerlb/platform"
+	"github.com/tanagerlb/tanagerlb/platform/emul"
 )
 
 func TestForwardedRecordsFitDatagramsAndLeaveNoGap(t *testing.T) {
@@ -132,21 +133,21 @@
 	is := is.New(t)
 	c := newGroupControl(3, "vm-000")
 	c.metrics, c.roster, c.newest = metric.New(), roster.New(), map[platform.Topic]map[string]platform.Record{}
-	entry := func(offset int64, state string) platform.Record {
-		return platform.Record{Offset: offset, Key: "u", Value: fmt.Appendf(nil, `{"service":"s","address":"127.0.0.1:9","state":%q}`, state)}
+	entry := func(offset int64, draining bool) platform.Record {
+		return platform.Record{Offset: offset, Key: "u", Value: emul.PlainEntry("s", "127.0.0.1:9", 1, draining)}
 	}
 	apply := func(r platform.Record) bool {
 		return len(c.applyRecords(start, platform.UpstreamsTopic, []platform.Record{r}, origin{})) > 0
 	}
-	is.True(apply(entry(5, "ready")))
-	is.True(apply(entry(6, "draining")))
-	is.True(!apply(entry(7, "draining"))) // a heartbeat
+	is.True(apply(entry(5, false)))
+	is.True(apply(entry(6, true)))
+	is.True(!apply(entry(7, true))) // a heartbeat
 
 	c.storeEra.topics[platform.UpstreamsTopic] = 0
-	copied := topicListing{topic: platform.UpstreamsTopic, batch: platform.Batch{Era: 1, Next: 6, Records: []platform.Record{entry(5, "ready")}}}
+	copied := topicListing{topic: platform.UpstreamsTopic, batch: platform.Batch{Era: 1, Next: 6, Records: []platform.Record{entry(5, false)}}}
 	c.applyListing(t.Context(), start, copied)
-	is.True(apply(entry(6, "draining")))
-	is.True(!apply(entry(7, "draining")))
+	is.True(apply(entry(6, true)))
+	is.True(!apply(entry(7, true)))
 }
 
 // Guards against a VM that trusts what a slow peer forwards as if it were new, and so learns of
