fix(edge): a VM that starts asks which upstreams are draining

Cause: the copy says ready, and a VM that starts knows nothing else. It asks three older VMs for crashes already; their answer now names the draining upstreams too, by their start.

TestVMThatStartsAfterARestoreAsksWhoIsDraining failed before.

--- a/internal/edge/crash_sharing_test.go
+++ b/internal/edge/crash_sharing_test.go
@@ -106,6 +106,33 @@
 	is.Equal(len(fresh.poison.tracker.Runs(7)), 1)
 }
 
+// Guards against requests to a draining upstream by a VM that starts after the store came back
+// from a copy in which the upstream is ready (incident DRAIN).
+func TestVMThatStartsAfterARestoreAsksWhoIsDraining(t *testing.T) {
+	is := is.New(t)
+	u := roster.Upstream{ID: "u", Service: "s", StartTime: 1}
+	drained := u
+	drained.Draining = true
+	for _, listedFirst := range []bool{true, false} {
+		old := newPeers(t, "a")[0]
+		old.roster.Apply(drained)
+		fresh := newPeer(t, "c")
+		fresh.self.Boot++
+		if listedFirst {
+			fresh.roster.Apply(u)
+		}
+		fresh.handleProbe(start, old.self.Peer, &probe{From: gossip.Update{VM: old.self, Status: gossip.Alive}, Reply: true})
+		deliver(t, start, old, fresh)
+		fresh.roster.Apply(u)
+		is.Equal(len(fresh.roster.Serving()), 0)
+
+		u2 := u
+		u2.StartTime = 2
+		is.Equal(fresh.roster.Apply(u2), roster.Restarted)
+		is.Equal(len(fresh.roster.Serving()), 1) // another run of the upstream
+	}
+}
+
 // Two VMs that don't keep count of a request by their own view know of two crashes each.
 // Neither wrote them to the store, or one overwrote what the other had written.
 func TestCrashesThatTheStoreLacksAreSavedByAnyVM(t *testing.T) {
--- a/internal/edge/packet.go
+++ b/internal/edge/packet.go
@@ -31,6 +31,7 @@
 	PaceRequest *paceRequest      `msgpack:"t,omitempty"`
 	PaceReply   *paceReply        `msgpack:"u,omitempty"`
 	LimitNotice *limitNotice      `msgpack:"m,omitempty"`
+	DrainNotice *drainNotice      `msgpack:"d,omitempty"`
 }
 
 // probe is a failure detector probe, or the reply to one. It carries membership
@@ -108,6 +109,17 @@
 	Records   []platform.Record `msgpack:"r,omitempty"`
 }
 
+// drainNotice tells a VM that has started which upstreams are draining. The store may have
+// older entries of them, if it has come back from a copy.
+type drainNotice struct {
+	Upstreams []drainingUpstream `msgpack:"u"`
+}
+
+type drainingUpstream struct {
+	ID        string `msgpack:"i"`
+	StartTime int64  `msgpack:"b"`
+}
+
 func newSlotReply(id string, d engine.Decision) *slotReply {
 	switch d := d.(type) {
 	case engine.Admitted:
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -220,6 +221,35 @@
 	return true
 }
 
+// replyDraining tells a VM that has started which upstreams are draining.
+func (c *control) replyDraining(to netip.AddrPort) {
+	for part := range slices.Chunk(c.roster.Draining(), packetDrains) {
+		notice := &drainNotice{}
+		for _, r := range part {
+			notice.Upstreams = append(notice.Upstreams, drainingUpstream(r))
+		}
+		c.transport.send(to, packet{DrainNotice: notice})
+	}
+}
+
+// packetDrains bounds the number of draining upstreams in one packet, which must fit in a
+// datagram.
+const packetDrains = 30
+
+// applyDrainNotice applies what a VM that has run for longer knows of draining upstreams.
+func (c *control) applyDrainNotice(now time.Time, n *drainNotice) {
+	changed := false
+	for _, u := range n.Upstreams {
+		if c.roster.NoteDraining(now, roster.Run(u)) {
+			c.logger.Info("upstream: "+roster.Draining.String(), zap.String("upstream", u.ID), zap.Int64("born", u.StartTime), zap.String("source", "vm"))
+			changed = true
+		}
+	}
+	if changed {
+		c.reconcile(now)
+	}
+}
+
 // markMissing records that an upstream has no entry, and has a time to register again.
 func (c *control) markMissing(now time.Time, id string, grace time.Duration) {
 	if c.roster.MarkMissing(now, id, grace) {
--- a/internal/edge/scheduling.go
+++ b/internal/edge/scheduling.go
@@ -26,6 +26,9 @@
 		c.handleCrashReport(now, r.from, p.CrashReport.Runs)
 	case p.CrashQuery != nil:
 		c.replyCrashes(now, r.from)
+		c.replyDraining(r.from)
+	case p.DrainNotice != nil:
+		c.applyDrainNotice(now, p.DrainNotice)
 	case p.BlockNotice != nil:
 		c.recordCrashes(now, p.BlockNotice.Runs)
 	case p.ClearNotice != nil:
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -89,6 +89,41 @@
 	upstreams map[string]*upstreamState
 	gone      map[string]goneUpstream // upstreams that Expire dropped
 	entries   map[string]Digest       // newest entry of each upstream in the store
+	leaving   map[Run]time.Time       // upstreams that others know to be draining, and when they told it
+}
+
+// Run identifies one run of an upstream's process.
+type Run struct {
+	ID        string
+	StartTime int64 // in Unix milliseconds
+}
+
+// leavingTTL is how long it is remembered that others know an upstream to be draining. It is
+// longer than the age of a copy from which the store may come back.
+const leavingTTL = time.Minute
+
+// Draining returns the upstreams that are known to be draining.
+func (t *Table) Draining() []Run {
+	var runs []Run
+	for _, s := range t.upstreams {
+		if s.Draining {
+			runs = append(runs, Run{ID: s.ID, StartTime: s.StartTime})
+		}
+	}
+	return runs
+}
+
+// NoteDraining records that others know an upstream to be draining, and reports whether that
+// changes it. The store's entry of it may come from an older copy.
+func (t *Table) NoteDraining(now time.Time, r Run) bool {
+	maps.DeleteFunc(t.leaving, func(_ Run, at time.Time) bool { return now.Sub(at) > leavingTTL })
+	t.leaving[r] = now
+	s, ok := t.upstreams[r.ID]
+	if !ok || s.StartTime != r.StartTime || s.Draining {
+		return false
+	}
+	s.Draining = true
+	return true
 }
 
 // goneUpstream is what is remembered of an upstream that is gone.
@@ -103,7 +138,7 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{upstreams: map[string]*upstreamState{}, gone: map[string]goneUpstream{}, entries: map[string]Digest{}}
+	return &Table{upstreams: map[string]*upstreamState{}, gone: map[string]goneUpstream{}, entries: map[string]Digest{}, leaving: map[Run]time.Time{}}
 }
 
 // NoteEntry records the newest entry of an upstream in the store, and reports whether it
@@ -123,6 +158,9 @@
 
 // Apply records an entry that was read, and returns its effect.
 func (t *Table) Apply(u Upstream) Change {
+	if _, ok := t.leaving[Run{ID: u.ID, StartTime: u.StartTime}]; ok {
+		u.Draining = true
+	}
 	s, ok := t.upstreams[u.ID]
 	if !ok {
 		t.upstreams[u.ID] = &upstreamState{Upstream: u}
