--- a/internal/edge/pacer_test.go
+++ b/internal/edge/pacer_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"net/netip"
 	"testing"
 	"time"
@@ -24,9 +25,9 @@
 	}
 	for _, vm := range vms {
 		send := func(to netip.AddrPort, p packet) {
-			byPeer[to].handlePacket(nil, time.Now(), packetReceived{from: vm.self.Peer, packet: p})
+			byPeer[to].handlePacket(context.Background(), time.Now(), packetReceived{from: vm.self.Peer, packet: p})
 		}
-		post := func(e event) { vm.handlePacket(nil, time.Now(), e.(packetReceived)) }
+		post := func(e event) { vm.handlePacket(context.Background(), time.Now(), e.(packetReceived)) }
 		vm.limits = newLimits(newPacer(vm.self, send, post))
 		vm.limits.pacer.vms.Store(&all)
 		for _, other := range vms {
