fix(edge,relay): send nothing by a list of upstreams that is too old

A VM that is short of processor time, or has just been frozen, sends by an old list, without a bound.

Now a send waits for a read if the newest one that was applied is older than nine tenths of Bounds.Drain, and is refused after 250 ms. In an outage of the store, and while the topic is listed after a restore, the last list counts as before. The read of a peer counts from its begin.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -165,6 +165,7 @@
 	announce        *announceJob // writes this VM's addresses to the store; nil in tests
 	poison          *poison
 	limits          *limits
+	fresh           fresh                   // of the upstreams
 	loadLimiters    map[string]*loadLimiter // limits on loads of base models, by service
 	confirmedAt     time.Duration           // start of the last read that covered all claims, as time since the boot of the machine
 	claiming        bool
--- a/internal/edge/feed.go
+++ b/internal/edge/feed.go
@@ -133,6 +133,9 @@
 // members of the group read the store themselves.
 const forwarderShare = 0.8
 
+// listing reports whether the topic is to be listed, or is being listed.
+func (f *feed) listing() bool { return f.offset() < 0 }
+
 func (f *feed) offset() int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -144,6 +144,9 @@
 	}
 	c.applyRecords(now, l.Topic, l.Records, origin{recovered: l.Recovered, grace: l.Grace})
 	c.advanceOffset(now, l.Topic, l.Next, 0)
+	if l.Topic == platform.UpstreamsTopic {
+		c.fresh.note(sinceBoot() - l.Age)
+	}
 	if len(l.Records) > 0 {
 		c.reconcile(now)
 	}
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -102,6 +102,7 @@
 	switch topic {
 	case platform.UpstreamsTopic:
 		c.upstreamsOffset = max(c.upstreamsOffset, next)
+		c.fresh.note(began)
 	case platform.OperatorTopic:
 		c.operatorOffset = max(c.operatorOffset, next)
 	case platform.FleetTopic:
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -25,6 +25,7 @@
 		f.store.SetAddress(s.Store)
 		if f.topic == platform.UpstreamsTopic {
 			f.setInterval(upstreamsInterval(s.Bounds))
+			v.control.fresh.setBound(s.Bounds.Drain, upstreamsInterval(s.Bounds))
 		}
 	}
 	v.control.post(reloaded{settings: s})
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -34,6 +34,7 @@
 	outcome  health.Outcome
 	reason   string
 	notRun   bool // the upstream did not run the request
+	left     bool // the upstream had left, so that the request was not sent
 	status   int
 	response *http.Response // nil unless the answer is complete
 	body     []byte
@@ -131,9 +132,9 @@
 	request := x.outbound(platform.ForwardOptions{Upstream: u.ID, Timeout: time.Until(x.deadline)})
 	run := x.beginRun(time.Now(), u)
 	e, err := x.config.Pool.Do(ctx, u.Address, request)
-	if errors.Is(err, errLeft) {
+	if left := errors.Is(err, errLeft); left || errors.Is(err, errStale) {
 		x.sends--
-		return result{outcome: health.Abandoned, reason: err.Error(), notRun: true}
+		return result{outcome: health.Abandoned, reason: errStale.Error(), notRun: true, left: left}
 	}
 	if err != nil {
 		x.reportUnanswered(run, err)
@@ -173,7 +174,7 @@
 		return false
 	}
 	if r.outcome == health.Abandoned {
-		return true // it was not sent
+		return r.left
 	}
 	if r.notRun && r.outcome == health.Failed && x.sends < maxSends {
 		return true // no byte of the request reached the upstream, so the retry budget is not charged
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -100,6 +100,7 @@
 	Health       health.Config
 	CrashTracker CrashTracker
 	Pacer        Pacer
+	Fresh        func(context.Context) error // waits until the upstreams in View were read recently; returns an error if that takes too long
 }
 
 // Handler is the HTTP handler for callers' requests. It keeps the health of the
@@ -277,9 +278,16 @@
 // errLeft is the error of a send to an upstream that has left since it was chosen.
 var errLeft = errors.New("upstream has left")
 
-// confirm returns errLeft if an upstream takes no more requests. It is called right before
+// errStale is the error of a send while it is not known which upstreams have left.
+var errStale = errors.New("upstreams were not read in time")
+
+// confirm returns errLeft if an upstream takes no more requests, and errStale if that is not
+// known. It is called right before
 // each send: the upstream may have been chosen seconds ago.
 func (x *exchange) confirm(upstream string) error {
+	if err := x.config.Fresh(x.ctx); err != nil {
+		return errStale
+	}
 	if x.config.View().Available(x.service.Name, upstream) {
 		return nil
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -107,10 +107,13 @@
 	}
 	request := x.outbound(send)
 	e, err := x.config.Pool.Do(x.ctx, slot.Upstream.Address, request)
-	if errors.Is(err, errLeft) {
+	if left := errors.Is(err, errLeft); left || errors.Is(err, errStale) {
 		x.sends--
 		slot.Release(engine.Done)
-		return true
+		if !left {
+			x.refuse(errStale.Error(), retryAfter)
+		}
+		return left
 	}
 	if err != nil {
 		return x.handleUnanswered(slot, run, err)
