perf(edge): reconcile changes of a large fleet together

Cause: each change that a probe or a forwarded record brought was reconciled and published by itself, 10 ms at 300 VMs and 3,000 engines, some hundred times in a start.

Up to 100 VMs and upstreams nothing changes. Beyond, 50 us for each pass between two reconciliations: 20 ms at 400, 200 ms at 3,960. TestChangesInALargeFleetAreReconciledTogether failed before (960 of at most 10).

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -176,6 +176,8 @@
 	mostHeard       int       // largest number of VMs that this VM has heard of at a time, this one included
 	aloneSince      time.Time // time since which no other live VM is known
 	claimCheckedAt  time.Time // time of the last check for engines to claim
+	reconcileAfter  time.Time // time before which changes of other VMs and upstreams are collected
+	reconcileDue    bool      // such changes were made since the last reconciliation
 }
 
 // heldEngine is an engine on which this VM holds the claim. Only the holder
@@ -204,6 +206,7 @@
 		case <-probes.C:
 			c.tick(ctx, time.Now())
 		case <-wake.C:
+			c.reconcileCollected(time.Now())
 			c.scheduleAll(ctx, time.Now())
 		}
 		// The ticker is reset only when the interval changes: a reset at each
@@ -288,9 +291,40 @@
 	return claimOutageBackoff
 }
 
+const (
+	// reconcileSpacing times the number of VMs and upstreams is the least time between two
+	// reconciliations for changes that come one by one, as in a start or loss of many VMs.
+	// A reconciliation takes about a twentieth of it.
+	reconcileSpacing = 50 * time.Microsecond
+	// smallFleet is the number of VMs and upstreams up to which each change is reconciled at
+	// once.
+	smallFleet = 100
+)
+
+// reconcileSoon reconciles, unless that was done a moment ago. If so, the change is collected
+// with those that follow.
+func (c *control) reconcileSoon(now time.Time) {
+	if now.Before(c.reconcileAfter) {
+		c.reconcileDue = true
+		return
+	}
+	c.reconcile(now)
+}
+
+// reconcileCollected reconciles the changes that reconcileSoon has collected, when it is time.
+func (c *control) reconcileCollected(now time.Time) {
+	if c.reconcileDue {
+		c.reconcileSoon(now)
+	}
+}
+
 // reconcile brings the held engines and the published state in line with the
 // current claims, upstreams and membership.
 func (c *control) reconcile(now time.Time) {
+	c.reconcileDue = false
+	if size := c.roster.Len() + c.gossip.Len(); size > smallFleet {
+		c.reconcileAfter = now.Add(time.Duration(size) * reconcileSpacing)
+	}
 	for _, u := range c.roster.Expire(now) {
 		c.forgetLimit(u.ID)
 		c.logger.Info("upstream: gone", zap.String("upstream", u.ID))
@@ -412,7 +446,7 @@
 	c.expirePoison(now)
 	c.reviewCrashes(ctx, now)
 	if len(changed) > 0 || c.roster.HasMissing() {
-		c.reconcile(now)
+		c.reconcileSoon(now)
 	}
 	if len(changed) > 0 || now.Sub(c.claimCheckedAt) >= claimInterval {
 		c.claimCheckedAt = now
--- a/internal/edge/control_test.go
+++ b/internal/edge/control_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -85,3 +86,37 @@
 	f.list() // records were trimmed
 	is.Equal(f.offset(), int64(-1))
 }
+
+// Guards against a start of many VMs in which each takes all of its processor time to publish
+// its state anew for each VM that it hears of (the bench's sweep at 300 VMs).
+func TestChangesInALargeFleetAreReconciledTogether(t *testing.T) {
+	for _, c := range []struct{ vms, engines, most int }{
+		{9, 12, 9},      // at once
+		{300, 3000, 10}, // in a second
+		{960, 3000, 10},
+	} {
+		t.Run(fmt.Sprintf("%d VMs", c.vms), func(t *testing.T) {
+			is := is.New(t)
+			vm := newFleetControl(2, c.engines)
+			published := 0
+			last := vm.view.Load()
+			note := func() {
+				if v := vm.view.Load(); v != last {
+					last = v
+					published++
+				}
+			}
+			for i := range c.vms {
+				now := start.Add(time.Duration(i) * time.Second / time.Duration(c.vms))
+				vm.gossip.Apply(now, gossip.Update{VM: gossip.VM{Name: fmt.Sprintf("new%d", i), Boot: 1}, Status: gossip.Alive})
+				vm.reconcileSoon(now)
+				note()
+				vm.reconcileCollected(now)
+				note()
+			}
+			is.True(published >= 1 && published <= c.most)
+			vm.reconcileCollected(start.Add(2 * time.Second))
+			is.Equal(len(vm.directory.Load().vms), c.vms+2) // none is lost
+		})
+	}
+}
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -148,6 +148,6 @@
 		c.fresh.note(sinceBoot() - l.Age)
 	}
 	if len(l.Records) > 0 {
-		c.reconcile(now)
+		c.reconcileSoon(now)
 	}
 }
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -247,7 +247,7 @@
 		}
 	}
 	if changed {
-		c.reconcile(now)
+		c.reconcileSoon(now)
 	}
 }
 
--- a/internal/edge/scheduling.go
+++ b/internal/edge/scheduling.go
@@ -77,7 +77,7 @@
 		c.transport.send(from, packet{Probe: reply})
 	}
 	if changed {
-		c.reconcile(now)
+		c.reconcileSoon(now)
 	}
 }
 
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -252,6 +252,9 @@
 	return updates
 }
 
+// Len returns the number of other VMs.
+func (t *Table) Len() int { return len(t.members) }
+
 // Members returns the current update about each other VM, sorted by name.
 func (t *Table) Members() []Update {
 	list := make([]Update, 0, len(t.members))
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -252,6 +252,9 @@
 	return s.Upstream, true
 }
 
+// Len returns the number of upstreams in the table.
+func (t *Table) Len() int { return len(t.upstreams) }
+
 // IDs returns the ids of all upstreams in the table, in no particular order.
 func (t *Table) IDs() []string {
 	ids := make([]string, 0, len(t.upstreams))
