--- a/internal/edge/fresh.go
+++ b/internal/edge/fresh.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"time"
 )
@@ -13,19 +12,17 @@
 	freshShare = 0.9
 	// freshWait is how long a request waits for a read of the upstreams.
 	freshWait = 250 * time.Millisecond
-	// freshInterval is the time between two looks at whether one has come.
-	freshInterval = 10 * time.Millisecond
+	// freshPoll is the interval at which a waiting request checks for one.
+	freshPoll = 10 * time.Millisecond
 )
 
-var errStaleUpstreams = errors.New("upstreams were not read in time")
-
-// fresh tells the request path whether the upstreams were read recently. It is not the case
-// if this VM was frozen or is short of processor time. In an outage of the store the last
-// read counts, whatever its age.
+// fresh tells the request path whether the upstreams were read recently. They were not if
+// this VM was frozen or is short of processor time. In an outage of the store the last read
+// counts, whatever its age.
 type fresh struct {
 	feed   *feed
 	bound  atomic.Int64 // longest age of a read, in nanoseconds; 0 for none
-	readAt atomic.Int64 // begin of the newest read that was applied, as time since the boot of the machine in nanoseconds; 0 for none
+	readAt atomic.Int64 // start of the newest read that was applied, as time since the boot of the machine in nanoseconds; 0 for none
 	asked  atomic.Int64 // when a read was last asked for, in the same way
 }
 
@@ -34,18 +31,18 @@
 	f.bound.Store(int64(max(time.Duration(freshShare*float64(drain)), interval+storeTimeout)))
 }
 
-// note records that a read which began at a time was applied.
+// note records that a read which started at a time was applied.
 func (f *fresh) note(began time.Duration) {
 	if int64(began) > f.readAt.Load() {
 		f.readAt.Store(int64(began))
 	}
 }
 
-// await returns nil once the upstreams were read recently. It asks for a read if they were
-// not.
-func (f *fresh) await(ctx context.Context) error {
+// await returns true if the upstreams were read recently. If they were not, it requests a
+// read and waits for it; it returns false if that takes too long.
+func (f *fresh) await(ctx context.Context) bool {
 	if f.current(sinceBoot()) {
-		return nil
+		return true
 	}
 	now := sinceBoot()
 	if last := f.asked.Load(); int64(now)-last > int64(freshWait) && f.asked.CompareAndSwap(last, int64(now)) {
@@ -53,16 +50,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, freshWait)
 	defer cancel()
-	ticker := time.NewTicker(freshInterval)
+	ticker := time.NewTicker(freshPoll)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
 			if f.current(sinceBoot()) {
-				return nil
+				return true
 			}
 		case <-ctx.Done():
-			return errStaleUpstreams
+			return false
 		}
 	}
 }
--- a/internal/edge/fresh_test.go
+++ b/internal/edge/fresh_test.go
@@ -37,7 +37,7 @@
 	c.fresh.setBound(2*time.Second, time.Second)
 	c.fresh.note(sinceBoot() - 3*time.Second)
 	begin := time.Now()
-	is.Equal(c.fresh.await(t.Context()), errStaleUpstreams)
+	is.True(!c.fresh.await(t.Context()))
 	is.True(time.Since(begin) >= freshWait)
 	is.Equal(reads, 1)
 
@@ -46,6 +46,6 @@
 		c.applyForwarded(start, &forwardedRecords{Topic: platform.UpstreamsTopic})
 		c.advanceOffset(start, platform.UpstreamsTopic, 6, sinceBoot())
 	})
-	is.NoErr(c.fresh.await(t.Context()))
+	is.True(c.fresh.await(t.Context()))
 	is.Equal(c.roster.Serving(), map[string][]roster.Upstream{})
 }
--- a/internal/edge/pacer.go
+++ b/internal/edge/pacer.go
@@ -66,7 +66,7 @@
 	sequence atomic.Uint64
 	mu       sync.Mutex
 	pending  map[uint64]chan time.Duration // reply channels by request ID
-	closed   map[string]time.Time          // upstreams whose gate has to be asked again at a time, not before
+	closed   map[string]time.Time          // upstreams whose gate denied a request, and when to ask it again
 }
 
 func newPacer(self gossip.VM, send func(netip.AddrPort, packet), post func(event)) *pacer {
--- a/internal/edge/packet.go
+++ b/internal/edge/packet.go
@@ -105,7 +105,7 @@
 	Next      int64             `msgpack:"n"`
 	Recovered bool              `msgpack:"a,omitempty"` // earlier reads of the sender had failed
 	Grace     time.Duration     `msgpack:"g,omitempty"` // how long upstreams whose entries are gone have to register again
-	Age       time.Duration     `msgpack:"d,omitempty"` // time since the begin of the read
+	Age       time.Duration     `msgpack:"d,omitempty"` // time since the start of the read
 	Records   []platform.Record `msgpack:"r,omitempty"`
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -100,7 +100,7 @@
 	Health       health.Config
 	CrashTracker CrashTracker
 	Pacer        Pacer
-	Fresh        func(context.Context) error // waits until the upstreams in View were read recently; returns an error if that takes too long
+	Fresh        func(context.Context) bool // waits until the upstreams in View were read recently; returns false if that takes too long
 }
 
 // Handler is the HTTP handler for callers' requests. It keeps the health of the
@@ -285,7 +285,7 @@
 // known. It is called right before
 // each send: the upstream may have been chosen seconds ago.
 func (x *exchange) confirm(upstream string) error {
-	if err := x.config.Fresh(x.ctx); err != nil {
+	if !x.config.Fresh(x.ctx) {
 		return errStale
 	}
 	if x.config.View().Available(x.service.Name, upstream) {
