fix(roster): an upstream that is known to be gone has no time to register again

Callers of an engine whose entry was missing after a restore of the store were sent to its address although another one answered there (421), for up to 2.5 s.

Cause: a missing entry kept the time that it got first; a 421 for the upstream's id, or a removal that was read live, did not shorten it.

TestEngineAtTheAddressOfAnotherHasNoTimeToRegister failed before.

--- a/internal/edge/eras_test.go
+++ b/internal/edge/eras_test.go
@@ -415,3 +415,18 @@
 	is.Equal(len(serving(a)), 0)
 	is.Equal(a.held["e"], nil)
 }
+
+// Guards against requests to an address at which another upstream answers already, because the
+// entry is missing after a restore and has a time to come back (seed 2316 of the soak).
+func TestEngineAtTheAddressOfAnotherHasNoTimeToRegister(t *testing.T) {
+	is := is.New(t)
+	vms, store := storeVMs(t, "a")
+	a := vms[0]
+	putUpstream(store, "e", false, 1)
+	a.list(t, start, platform.UpstreamsTopic)
+	a.markMissing(start, "e", reregisterGrace)
+	a.reconcile(start)
+	is.Equal(len(serving(a)), 1)
+	a.noteMisdirected(start, "e")
+	is.Equal(len(serving(a)), 0)
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -198,10 +198,17 @@
 // MarkMissing records that the entry of an upstream was found missing at the time
 // now, and reports whether the entry was present before. The upstream counts as
 // gone after grace unless its entry comes back: after an outage of the store,
-// upstreams need a moment to register again.
+// upstreams need a moment to register again. If the entry was missing before, the
+// shorter time applies.
 func (t *Table) MarkMissing(now time.Time, id string, grace time.Duration) bool {
 	s, ok := t.upstreams[id]
-	if !ok || !s.missingSince.IsZero() {
+	if !ok {
+		return false
+	}
+	if !s.missingSince.IsZero() {
+		if expires := now.Add(grace); expires.Before(s.expires) {
+			s.expires = expires
+		}
 		return false
 	}
 	s.missingSince, s.expires = now, now.Add(grace)
