feat(edge): log which answer ended the suspicion of a request

The line had the request's fingerprint only. An answer to another caller of the same content and an error answer could not be told from a run of the request itself.

--- a/internal/edge/crash_tracker.go
+++ b/internal/edge/crash_tracker.go
@@ -109,9 +109,9 @@
 }
 
 // ReportCompleted implements relay.CrashTracker.
-func (t crashTracker) ReportCompleted(now time.Time, f crash.Fingerprint) {
-	t.control.poison.complete.add(now, f)
-	if _, suspected := (*t.control.poison.watched.Load())[f]; suspected {
-		t.control.post(requestCompleted{fingerprint: f})
+func (t crashTracker) ReportCompleted(now time.Time, r relay.CompletedRun) {
+	t.control.poison.complete.add(now, r.Fingerprint)
+	if _, suspected := (*t.control.poison.watched.Load())[r.Fingerprint]; suspected {
+		t.control.post(requestCompleted{r})
 	}
 }
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -76,7 +76,7 @@
 
 // requestCompleted reports that a request ran to its end although upstreams have
 // crashed under it before.
-type requestCompleted struct{ fingerprint crash.Fingerprint }
+type requestCompleted struct{ relay.CompletedRun }
 
 // upstreamChecked reports that the check of an upstream has ended, and that it accepts
 // connections if no unreachable event came before.
@@ -122,6 +122,7 @@
 // clearNotice tells a VM that a request ran to its end.
 type clearNotice struct {
 	Fingerprint crash.Fingerprint `msgpack:"f"`
+	Request     string            `msgpack:"r,omitempty"` // id of the request, for logs
 }
 
 // poison holds what a VM knows of poison requests. Each VM tells all others of the
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"net/netip"
 	"strconv"
 	"testing"
@@ -35,6 +36,10 @@
 	return requestBroken{relay.BrokenRun{Fingerprint: f, Upstream: roster.Upstream{ID: upstream}, Sent: sent}}
 }
 
+func completed(f crash.Fingerprint) requestCompleted {
+	return requestCompleted{relay.CompletedRun{Fingerprint: f, Status: http.StatusOK}}
+}
+
 // remaining returns for how long the request path refuses a request.
 func (c *control) remaining(now time.Time, f crash.Fingerprint) time.Duration {
 	return crashTracker{c}.BlockedFor(now, f)
@@ -183,7 +188,7 @@
 		at := start.Add(time.Duration(i) * time.Second)
 		c.noteBroken(t.Context(), at, brokenRun(7, "e1", at))
 		c.noteCrash(at, "e1", at, learnedByDial)
-		c.noteCompleted(7)
+		c.noteCompleted(completed(7))
 		is.Equal(c.remaining(at, 7), time.Duration(0))
 	}
 }
@@ -198,7 +203,7 @@
 	c.expirePoison(start)
 	_, watched := (*c.poison.watched.Load())[7]
 	is.True(watched) // the request path reports its complete runs
-	c.noteCompleted(7)
+	c.noteCompleted(completed(7))
 	for _, id := range []string{"e1", "e2", "e3"} {
 		c.noteCrash(start.Add(3*time.Second), id, start.Add(3*time.Second), learnedFromMissingEntry)
 	}
@@ -222,7 +227,7 @@
 	is.Equal(tracker.Admit(over, 7), trialTime)
 	is.Equal(tracker.BlockedFor(over, 7), time.Duration(0)) // the trial itself may be sent
 	is.Equal(tracker.Admit(over.Add(trialTime), 7), time.Duration(0))
-	c.noteCompleted(7)
+	c.noteCompleted(completed(7))
 	for range 3 {
 		is.Equal(tracker.Admit(over.Add(trialTime), 7), time.Duration(0))
 	}
@@ -257,7 +262,7 @@
 func TestRequestThatRanToItsEndBeforeIsHeldBackLater(t *testing.T) {
 	is := is.New(t)
 	c := loneVM()
-	crashTracker{c}.ReportCompleted(start.Add(-completionTime), 8)
+	crashTracker{c}.ReportCompleted(start.Add(-completionTime), completed(8).CompletedRun)
 	for i := range harmlessThreshold {
 		at := start.Add(time.Duration(i) * time.Second)
 		is.Equal(c.remaining(at, 7) > 0, i >= blockThreshold)
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -51,7 +51,7 @@
 	case crashesSaved:
 		c.noteSaved(now, e)
 	case requestCompleted:
-		c.noteCompleted(e.fingerprint)
+		c.noteCompleted(e)
 	default:
 		return false
 	}
@@ -95,7 +95,7 @@
 	c.poison.pending[id], c.poison.stale = list, true
 	c.metrics.Suspected("broke off")
 	c.logger.Info("crash: request broke off", zap.String("request", e.Request), zap.String("upstream", id),
-		zap.Stringer("print", e.Fingerprint), zap.Bool("silent", e.Silent))
+		zap.Stringer("print", e.Fingerprint), zap.Stringer("caller", e.Caller), zap.Bool("silent", e.Silent))
 	if e.Sent.Before(c.poison.crashed[id]) {
 		c.reportSuspects(now, id, learnedBefore)
 	}
@@ -260,14 +260,16 @@
 
 // noteCompleted handles the complete run of a request under which upstreams have
 // crashed before, or may have: the request is not the cause.
-func (c *control) noteCompleted(f crash.Fingerprint) {
-	if c.clear(f) {
-		c.sendToAll(packet{ClearNotice: &clearNotice{Fingerprint: f}})
+func (c *control) noteCompleted(e requestCompleted) {
+	if c.clear(e.Fingerprint, zap.String("request", e.Request), zap.Stringer("caller", e.Caller), zap.String("upstream", e.Upstream), zap.Int("status", e.Status)) {
+		c.sendToAll(packet{ClearNotice: &clearNotice{Fingerprint: e.Fingerprint, Request: e.Request}})
 	}
 }
 
-// clear forgets the crashes of a request. It reports whether there were any.
-func (c *control) clear(f crash.Fingerprint) bool {
+// clear forgets the crashes of a request. It reports whether there were any, and logs
+// them with the fields, which tell why.
+func (c *control) clear(f crash.Fingerprint, why ...zap.Field) bool {
+	crashes := len(c.poison.tracker.Runs(f))
 	counted, blocked := c.poison.forget(f)
 	if blocked {
 		c.publishPoison()
@@ -276,6 +278,7 @@
 		return false
 	}
 	c.metrics.Suspected("cleared")
-	c.logger.Info("crash: request ran to its end", zap.Stringer("print", f))
+	fields := append([]zap.Field{zap.Stringer("print", f), zap.Int("crashes", crashes), zap.Bool("blocked", blocked)}, why...)
+	c.logger.Info("crash: request ran to its end", fields...)
 	return true
 }
--- a/internal/relay/crash_tracker.go
+++ b/internal/relay/crash_tracker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -28,15 +29,24 @@
 	ReportBroken(r BrokenRun)
 	// ReportUnreachable reports that no connection to an upstream could be opened.
 	ReportUnreachable(upstream string)
-	// ReportCompleted reports that an upstream answered the request with fingerprint f
-	// completely.
-	ReportCompleted(now time.Time, f crash.Fingerprint)
+	// ReportCompleted reports a run that ended with a complete answer.
+	ReportCompleted(now time.Time, r CompletedRun)
+}
+
+// CompletedRun is a run of a request that ended with a complete answer.
+type CompletedRun struct {
+	Request     string // id of the request
+	Fingerprint crash.Fingerprint
+	Caller      netip.Addr // address that the request came from
+	Upstream    string     // id of the upstream
+	Status      int        // HTTP status of the answer
 }
 
 // BrokenRun is a run of a request that ended without a complete answer.
 type BrokenRun struct {
 	Request     string // id of the request
 	Fingerprint crash.Fingerprint
+	Caller      netip.Addr // address that the request came from
 	Upstream    roster.Upstream
 	Sent        time.Time // when the request was sent to the upstream
 	Heard       time.Time // when something last arrived from the upstream, for any request
@@ -72,6 +82,15 @@
 	return x.print
 }
 
+// caller returns the address that the request came from; the zero value if it is not known.
+func (x *exchange) caller() netip.Addr {
+	address, err := netip.ParseAddrPort(x.r.RemoteAddr)
+	if err != nil {
+		return netip.Addr{} // only in tests that have no connection
+	}
+	return address.Addr().Unmap()
+}
+
 // refuseArrived refuses the request, which has just arrived, if it is blocked because it
 // crashed too many upstreams. It reports whether the request was refused.
 func (x *exchange) refuseArrived() bool {
@@ -97,7 +116,7 @@
 		return
 	}
 	x.config.CrashTracker.ReportBroken(BrokenRun{
-		Request: x.call.ID, Fingerprint: x.fingerprint(), Upstream: r.upstream, Sent: r.sent, Heard: r.sign.time(), Silent: silent,
+		Request: x.call.ID, Fingerprint: x.fingerprint(), Caller: x.caller(), Upstream: r.upstream, Sent: r.sent, Heard: r.sign.time(), Silent: silent,
 	})
 }
 
