fix(relay,plain): an error answer does not clear a request that crashes upstreams

Cause: each complete answer ended the suspicion of its request, also a 500 of an upstream that failed the request before it could run.

The own interface had the same.

--- a/internal/plain/watch.go
+++ b/internal/plain/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -35,6 +36,7 @@
 	sent := time.Now()
 	reply, err := w.client.Call(ctx, address, c)
 	switch {
+	case err == nil && reply.Status >= http.StatusInternalServerError: // it may have failed before it ran
 	case err == nil:
 		if _, suspect := w.control.View().Crashes[c.Fingerprint]; suspect {
 			w.control.Post(node.PlainCompleted{Fingerprint: c.Fingerprint})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -408,9 +408,11 @@
 
 // recordAnswer reports, counts and logs a complete answer of an upstream.
 func (x *exchange) recordAnswer(upstream string, status int) {
-	x.config.CrashTracker.ReportCompleted(time.Now(), CompletedRun{
-		Request: x.call.ID, Fingerprint: x.fingerprint(), Caller: x.caller(), Upstream: upstream, Status: status,
-	})
+	if status < http.StatusInternalServerError { // otherwise it may have failed before it ran
+		x.config.CrashTracker.ReportCompleted(time.Now(), CompletedRun{
+			Request: x.call.ID, Fingerprint: x.fingerprint(), Caller: x.caller(), Upstream: upstream, Status: status,
+		})
+	}
 	x.config.Metrics.Answered(x.route.Kind.String())
 	x.config.Metrics.Latency(x.route.Kind.String(), time.Since(x.started))
 	x.config.Logger.Info("relay: answered", zap.String("request", x.call.ID), zap.String("upstream", upstream),
