--- a/internal/edge/bench_test.go
+++ b/internal/edge/bench_test.go
@@ -108,7 +108,7 @@
 			c := loneVM()
 			var runs []crashRun
 			for i := range count {
-				runs = append(runs, crashRun{Fingerprint: crash.Fingerprint(i + 1), ID: uint64(i + 1), Upstream: "e1"})
+				runs = append(runs, crashRun{ID: uint64(i + 1), Upstream: "e1", Causes: []suspectCause{{Print: crash.Fingerprint(i + 1)}}})
 			}
 			c.recordCrashes(start, runs)
 			b.Run("review", func(b *testing.B) {
@@ -133,17 +133,17 @@
 		b.Run(strconv.Itoa(remembered), func(b *testing.B) {
 			c := loneVM()
 			for i := range remembered {
-				c.recordCrashes(start, []crashRun{{Fingerprint: crash.Fingerprint(i + 1), ID: uint64(i + 1), Upstream: "e"}})
+				c.recordCrashes(start, []crashRun{{ID: uint64(i + 1), Upstream: "e", Causes: []suspectCause{{Print: crash.Fingerprint(i + 1)}}}})
 			}
 			next := uint64(remembered)
 			for b.Loop() {
 				runs := make([]crashRun, packetRuns)
 				for i := range runs {
 					next++
-					runs[i] = crashRun{Fingerprint: crash.Fingerprint(next%uint64(remembered) + 1), ID: next, Upstream: strconv.FormatUint(next, 10)}
+					runs[i] = crashRun{ID: next, Upstream: strconv.FormatUint(next, 10), Causes: []suspectCause{{Print: crash.Fingerprint(next%uint64(remembered) + 1)}}}
 				}
 				for _, r := range runs { // two crashes at most, as most requests have
-					c.poison.tracker.Clear(r.Fingerprint)
+					c.poison.tracker.Clear(r.Causes[0].Print)
 				}
 				c.recordCrashes(start, runs)
 				c.expirePoison(start)
--- a/internal/edge/crash_records.go
+++ b/internal/edge/crash_records.go
@@ -13,13 +13,13 @@
 )
 
 const (
-	// savedCrashes is the number of crashes under a request from which on they are
+	// savedCrashes is the number of crashes under a cause from which on they are
 	// kept in the store. The first crash is not: it has usually another cause, and the
 	// loss of its count costs one more crash.
 	savedCrashes = 2
 	// reviewInterval is the time between checks of what is to be saved.
 	reviewInterval = time.Second
-	// saveGrace is how long the store may lack crashes under a request before a VM saves
+	// saveGrace is how long the store may lack crashes under a cause before a VM saves
 	// them that is not to save them: two reads of the fleet topic.
 	saveGrace = 2 * fleetInterval
 	// saveBackoff is the time between two attempts to save while the store does not
@@ -27,8 +27,8 @@
 	saveBackoff = 2 * time.Second
 )
 
-// crashRecord is the value of a record of the fleet topic: the crashes under a request.
-// Its key is keyCrash and the request's fingerprint.
+// crashRecord is the value of a record of the fleet topic: the crashes under a cause.
+// Its key is keyCrash and the cause's fingerprint.
 type crashRecord struct {
 	Runs []crash.SavedRun `json:"runs"`
 }
@@ -36,15 +36,15 @@
 // crashesSaved is the result of writing crashRecords.
 type crashesSaved struct {
 	era   int64                             // era of the store in which they were written
-	saved map[crash.Fingerprint][]crash.Run // runs written, by request
+	saved map[crash.Fingerprint][]crash.Run // runs written, by cause
 	err   error
 }
 
 func (crashesSaved) event() {}
 
-// applyCrashRecord applies a record of the fleet topic with the crashes under a request.
-// A record without a value tells that the request is not the cause, or that its
-// crashes are long ago.
+// applyCrashRecord applies a record of the fleet topic with the crashes under a cause.
+// A record without a value tells that the cause is not to blame, or that its crashes are
+// long ago.
 func (c *control) applyCrashRecord(now time.Time, text string, value []byte) {
 	f, err := crash.ParseFingerprint(text)
 	if err != nil {
@@ -61,13 +61,12 @@
 		c.logger.Warn("fleet: record is ignored", zap.String("key", keyCrash+text), zap.Error(err))
 		return
 	}
-	saved, runs := make([]crash.Run, len(record.Runs)), make([]crashRun, len(record.Runs))
+	saved := make([]crash.Run, len(record.Runs))
 	for i, r := range record.Runs {
 		saved[i] = r.Load()
-		runs[i] = newCrashRun(now, f, saved[i])
 	}
 	c.poison.saved[f] = saved
-	c.recordCrashes(now, runs)
+	c.recordCrashes(now, newCrashRuns(now, f, saved))
 }
 
 // reviewCrashes saves the crashes that the store does not have, and drops records that no
@@ -104,7 +103,7 @@
 	}
 }
 
-// unsavedCrashes returns the requests whose crashes differ from what the store has, and
+// unsavedCrashes returns the causes whose crashes differ from what the store has, and
 // that this VM is to save or no other has saved for a while.
 func (c *control) unsavedCrashes(now time.Time) []crash.Fingerprint {
 	since := map[crash.Fingerprint]time.Time{}
@@ -149,7 +148,7 @@
 	c.poison.saving = false
 	if e.err != nil {
 		c.poison.reviewAt = now.Add(saveBackoff)
-		c.logger.Info("crash: cannot save the count of a request", zap.Int("requests", len(e.saved)), zap.Error(e.err))
+		c.logger.Info("crash: cannot save counts", zap.Int("causes", len(e.saved)), zap.Error(e.err))
 		return
 	}
 	c.noteEra(now, e.era, "append")
--- a/internal/edge/crash_tracker.go
+++ b/internal/edge/crash_tracker.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -13,31 +14,43 @@
 type crashTracker struct{ control *control }
 
 // Admit implements relay.CrashTracker.
-func (t crashTracker) Admit(now time.Time, f crash.Fingerprint) time.Duration {
-	until := (*t.control.poison.watched.Load())[f]
-	switch {
-	case until.IsZero(): // too few crashes
-		return 0
-	case now.Before(until):
-		return until.Sub(now)
-	default:
-		return t.control.poison.trials.begin(now, f)
+func (t crashTracker) Admit(now time.Time, causes []crash.Cause) relay.Block {
+	if b := t.Blocked(now, causes); b.Remaining > 0 {
+		return b
 	}
+	watched := *t.control.poison.watched.Load()
+	for _, c := range causes {
+		if watched[c.Print].IsZero() { // too few crashes
+			continue
+		}
+		if remaining := t.control.poison.trials.begin(now, c.Print); remaining > 0 {
+			return relay.Block{Remaining: remaining, Cause: c}
+		}
+	}
+	return relay.Block{}
 }
 
-// BlockedFor implements relay.CrashTracker.
-func (t crashTracker) BlockedFor(now time.Time, f crash.Fingerprint) time.Duration {
-	return max((*t.control.poison.watched.Load())[f].Sub(now), 0)
+// Blocked implements relay.CrashTracker. Of several causes it names the one that is blocked
+// for longest.
+func (t crashTracker) Blocked(now time.Time, causes []crash.Cause) relay.Block {
+	watched := *t.control.poison.watched.Load()
+	var longest relay.Block
+	for _, c := range causes {
+		if remaining := watched[c.Print].Sub(now); remaining > longest.Remaining {
+			longest = relay.Block{Remaining: remaining, Cause: c}
+		}
+	}
+	return longest
 }
 
-// trials holds the runs of requests that were blocked until a moment ago. A run that
-// ends well lifts the suspicion; another crash blocks the request again.
+// trials holds the runs of requests with causes that were blocked until a moment ago. A run
+// that ends well lifts the suspicion; another crash blocks the cause again.
 type trials struct {
 	mu    sync.Mutex
 	begun map[crash.Fingerprint]time.Time
 }
 
-// begin returns 0 if a request may be tried, and otherwise the time left until its last
+// begin returns 0 if a cause may be tried, and otherwise the time left until its last
 // trial is over.
 func (t *trials) begin(now time.Time, f crash.Fingerprint) time.Duration {
 	t.mu.Lock()
@@ -62,31 +75,33 @@
 	t.control.post(unreachable{upstream: upstream})
 }
 
-// completions has the requests that ran to their end during the last completionTime, at
-// least, and the last two of these times at most.
+// completions has the causes with which requests ran to their end during the last
+// completionTime, at least, and the last two of these times at most.
 type completions struct {
 	mu          sync.Mutex
 	begun       time.Time                      // begin of the current time
-	now, before map[crash.Fingerprint]struct{} // requests of the current time and of the one before
+	now, before map[crash.Fingerprint]struct{} // causes of the current time and of the one before
 }
 
 const (
 	completionTime = 30 * time.Second
-	// maxCompletions bounds the requests of one completionTime.
-	maxCompletions = 10_000
+	// maxCompletions bounds the causes of one completionTime.
+	maxCompletions = 20_000
 )
 
-// add adds a request that has run to its end.
-func (c *completions) add(now time.Time, f crash.Fingerprint) {
+// add adds the causes of a request that has run to its end.
+func (c *completions) add(now time.Time, causes []crash.Cause) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.expire(now)
-	if len(c.now) < maxCompletions {
-		c.now[f] = struct{}{}
+	for _, cause := range causes {
+		if len(c.now) < maxCompletions {
+			c.now[cause.Print] = struct{}{}
+		}
 	}
 }
 
-// has reports whether a request ran to its end shortly before now.
+// has reports whether a request with a cause ran to its end shortly before now.
 func (c *completions) has(now time.Time, f crash.Fingerprint) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -110,8 +125,9 @@
 
 // ReportCompleted implements relay.CrashTracker.
 func (t crashTracker) ReportCompleted(now time.Time, r relay.CompletedRun) {
-	t.control.poison.complete.add(now, r.Fingerprint)
-	if _, suspected := (*t.control.poison.watched.Load())[r.Fingerprint]; suspected {
+	t.control.poison.complete.add(now, r.Causes)
+	watched := *t.control.poison.watched.Load()
+	if slices.ContainsFunc(r.Causes, func(c crash.Cause) bool { _, ok := watched[c.Print]; return ok }) {
 		t.control.post(requestCompleted{r})
 	}
 }
--- a/internal/edge/eras_test.go
+++ b/internal/edge/eras_test.go
@@ -362,7 +362,7 @@
 	is.True(a.save(t, now))
 	copied := time.Now()
 	time.Sleep(time.Millisecond)
-	a.poison.complete.add(now, 7)
+	a.poison.complete.add(now, causes(7))
 	a.noteCompleted(completed(7))
 	is.True(a.save(t, now.Add(5*time.Second)))
 	store.Restore(copied)
--- a/internal/edge/packet.go
+++ b/internal/edge/packet.go
@@ -24,9 +24,9 @@
 	FirstToken  *firstToken       `msgpack:"b,omitempty"`
 	SlotRelease *slotRelease      `msgpack:"e,omitempty"`
 	Records     *forwardedRecords `msgpack:"l,omitempty"`
-	CrashReport *crashReport      `msgpack:"x,omitempty"`
-	BlockNotice *blockNotice      `msgpack:"y,omitempty"`
-	ClearNotice *clearNotice      `msgpack:"z,omitempty"`
+	CrashReport *crashReport      `msgpack:"cr,omitempty"`
+	BlockNotice *blockNotice      `msgpack:"cb,omitempty"`
+	ClearNotice *clearNotice      `msgpack:"cc,omitempty"`
 	CrashQuery  *crashQuery       `msgpack:"q,omitempty"`
 	PaceRequest *paceRequest      `msgpack:"t,omitempty"`
 	PaceReply   *paceReply        `msgpack:"u,omitempty"`
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -13,11 +13,11 @@
 // Parameters of the detection of poison requests, which crash the upstreams that
 // run them.
 const (
-	// blockThreshold is the number of crashes of upstreams under a request at which
-	// the request is blocked.
+	// blockThreshold is the number of crashes of upstreams under a cause at which the
+	// cause is blocked.
 	blockThreshold = 3
-	// harmlessThreshold is the same for a request that had run to its end shortly before:
-	// it more likely ran beside the cause. The platform allows three repeats after the
+	// harmlessThreshold is the same for a cause with which a request had run to its end
+	// shortly before: it more likely ran beside the true one. The platform allows three repeats after the
 	// third crash.
 	harmlessThreshold = 6
 	// blockTime is how long a request is blocked at first. The time grows with each
@@ -25,7 +25,7 @@
 	// ends well can show it.
 	blockTime    = time.Minute
 	maxBlockTime = 3 * 24 * time.Hour
-	// crashTTL is how long the crashes of a request are remembered after the last one
+	// crashTTL is how long the crashes under a cause are remembered after the last one
 	// and after the end of its block.
 	crashTTL = 30 * time.Minute
 	// trialTime is the least time between two runs of a request that was blocked.
@@ -42,12 +42,12 @@
 	// longestRun is the longest time for which a request may still wait for an upstream
 	// that has crashed.
 	longestRun = time.Minute
-	// maxFingerprints bounds the number of requests whose crashes are remembered, and
-	// the number of suspects of each upstream.
-	maxFingerprints = 10_000
+	// maxCauses bounds the number of causes whose crashes are remembered, and the number
+	// of suspects of each upstream.
+	maxCauses = 20_000
 	// packetRuns bounds the number of runs in one packet, which must fit in a
 	// datagram.
-	packetRuns = 20
+	packetRuns = 12
 	// tallyVMs is the number of VMs that save the crashes of a request. It is more
 	// than one, so that one of them may fail.
 	tallyVMs = 2
@@ -90,20 +90,38 @@
 // crashRun is a run of a request during which its upstream crashed, as VMs tell it to
 // each other. Times are sent as ages, since the clocks of VMs differ.
 type crashRun struct {
-	Fingerprint crash.Fingerprint `msgpack:"f"`
-	ID          uint64            `msgpack:"i"`
-	Upstream    string            `msgpack:"u"`
-	Sent        time.Duration     `msgpack:"s"`
-	Ended       time.Duration     `msgpack:"e"`
-	Harmless    bool              `msgpack:"h,omitempty"`
+	ID       uint64         `msgpack:"i"`
+	Upstream string         `msgpack:"u"`
+	Sent     time.Duration  `msgpack:"s"`
+	Ended    time.Duration  `msgpack:"e"`
+	Causes   []suspectCause `msgpack:"c"`
 }
 
-func newCrashRun(now time.Time, f crash.Fingerprint, r crash.Run) crashRun {
-	return crashRun{Fingerprint: f, ID: r.ID, Upstream: r.Upstream, Sent: now.Sub(r.Sent), Ended: now.Sub(r.Ended), Harmless: r.Harmless}
+// suspectCause is what may have been the cause of a crash.
+type suspectCause struct {
+	Print    crash.Fingerprint `msgpack:"f"`
+	Kind     crash.Kind        `msgpack:"k,omitempty"`
+	Harmless bool              `msgpack:"h,omitempty"`
 }
 
-func (r crashRun) at(now time.Time) crash.Run {
-	return crash.Run{ID: r.ID, Upstream: r.Upstream, Sent: now.Add(-r.Sent), Ended: now.Add(-r.Ended), Harmless: r.Harmless}
+// newCrashRun returns a run without causes.
+func newCrashRun(now time.Time, r crash.Run) crashRun {
+	return crashRun{ID: r.ID, Upstream: r.Upstream, Sent: now.Sub(r.Sent), Ended: now.Sub(r.Ended)}
+}
+
+// newCrashRuns returns the runs that count for a cause.
+func newCrashRuns(now time.Time, f crash.Fingerprint, runs []crash.Run) []crashRun {
+	list := make([]crashRun, len(runs))
+	for i, r := range runs {
+		list[i] = newCrashRun(now, r)
+		list[i].Causes = []suspectCause{{Print: f, Kind: r.Kind, Harmless: r.Harmless}}
+	}
+	return list
+}
+
+// at returns the run as it counts for a cause.
+func (r crashRun) at(now time.Time, c suspectCause) crash.Run {
+	return crash.Run{ID: r.ID, Kind: c.Kind, Upstream: r.Upstream, Sent: now.Add(-r.Sent), Ended: now.Add(-r.Ended), Harmless: c.Harmless}
 }
 
 // crashReport tells a VM of crashes under requests.
@@ -111,7 +129,7 @@
 	Runs []crashRun `msgpack:"r"`
 }
 
-// blockNotice tells a VM to block a poison request, with the runs that are the reason.
+// blockNotice tells a VM to block a cause, with the runs that are the reason.
 type blockNotice struct {
 	Runs []crashRun `msgpack:"r"`
 }
@@ -119,16 +137,16 @@
 // crashQuery asks a VM for all crashes under requests that it knows of.
 type crashQuery struct{}
 
-// clearNotice tells a VM that a request ran to its end.
+// clearNotice tells a VM that a request with these causes ran to its end.
 type clearNotice struct {
-	Fingerprint crash.Fingerprint `msgpack:"f"`
-	Request     string            `msgpack:"r,omitempty"` // id of the request, for logs
+	Causes  []crash.Fingerprint `msgpack:"c"`
+	Request string              `msgpack:"r,omitempty"` // id of the request, for logs
 }
 
 // poison holds what a VM knows of poison requests. Each VM tells all others of the
 // crashes that it sees, and asks some of them for earlier ones when it starts. From
-// savedCrashes on, the crashes under a request are kept in the store too, where all VMs
-// read them. Rendezvous hashing assigns each request to tallyVMs VMs, which save its
+// savedCrashes on, the crashes under a cause are kept in the store too, where all VMs
+// read them. Rendezvous hashing assigns each cause to tallyVMs VMs, which save its
 // crashes and tell the others to block it; another VM saves what the store still lacks
 // after saveGrace, as the VMs differ in which others they know.
 type poison struct {
@@ -138,14 +156,14 @@
 	outages  map[string]*outage                // upstreams that break off requests
 	crashed  map[string]time.Time              // upstreams that have crashed, and a time before which their last crash was
 	probing  map[string]bool                   // upstreams that are being checked
-	saved    map[crash.Fingerprint][]crash.Run // runs in the store's record of each request
+	saved    map[crash.Fingerprint][]crash.Run // runs in the store's record of each cause
 	saving   bool                              // a write to the store is in progress
-	unsaved  map[crash.Fingerprint]time.Time   // requests whose record in the store is out of date, and since when
+	unsaved  map[crash.Fingerprint]time.Time   // causes whose record in the store is out of date, and since when
 	asked    map[string]bool                   // VMs that were asked for the crashes that they know of
 	trials   trials
 	complete completions
 	reviewAt time.Time // time of the next check of what is to be saved
-	// watched has the requests under which upstreams have crashed or may have, and the
+	// watched has the causes under which upstreams have crashed or may have, and the
 	// ends of the times for which they are blocked. The request path reads it.
 	watched atomic.Pointer[map[crash.Fingerprint]time.Time]
 	stale   bool // watched lags behind tracker and pending
@@ -154,7 +172,7 @@
 func newPoison() *poison {
 	p := &poison{
 		tracker: crash.NewTracker(crash.TrackerConfig{
-			Crashes: blockThreshold, Harmless: harmlessThreshold, Block: blockTime, MaxBlock: maxBlockTime, TTL: crashTTL, Restart: restartTime, MaxRequests: maxFingerprints,
+			Crashes: blockThreshold, Harmless: harmlessThreshold, Block: blockTime, MaxBlock: maxBlockTime, TTL: crashTTL, Restart: restartTime, MaxCauses: maxCauses,
 		}),
 		pending: map[string][]suspect{}, outages: map[string]*outage{}, crashed: map[string]time.Time{}, probing: map[string]bool{}, saved: map[crash.Fingerprint][]crash.Run{}, unsaved: map[crash.Fingerprint]time.Time{}, asked: map[string]bool{},
 		trials: trials{begun: map[crash.Fingerprint]time.Time{}},
@@ -163,8 +181,8 @@
 	return p
 }
 
-// publishPoison makes the state of requests that are watched visible to the request
-// path. When the time of a block is over, the VMs try the request one after the other in
+// publishPoison makes the state of causes that are watched visible to the request
+// path. When the time of a block is over, the VMs try the cause one after the other in
 // rendezvous order, so that it does not crash an upstream of each.
 func (c *control) publishPoison() {
 	p := c.poison
@@ -178,8 +196,10 @@
 	}
 	for _, list := range p.pending {
 		for _, s := range list {
-			if _, ok := watched[s.fingerprint]; !ok {
-				watched[s.fingerprint] = time.Time{}
+			for _, cause := range s.causes {
+				if _, ok := watched[cause.Print]; !ok {
+					watched[cause.Print] = time.Time{}
+				}
 			}
 		}
 	}
@@ -187,11 +207,14 @@
 	p.stale = false
 }
 
-// forget forgets that upstreams crashed under a request, or may have. It reports whether
-// any is known to have, and whether the request was blocked.
+// forget forgets that upstreams crashed under a cause, or may have. It reports whether
+// any is known to have, and whether the cause was blocked.
 func (p *poison) forget(f crash.Fingerprint) (counted, blocked bool) {
 	for upstream, list := range p.pending {
-		p.pending[upstream] = slices.DeleteFunc(list, func(s suspect) bool { return s.fingerprint == f })
+		for i := range list {
+			list[i].causes = slices.DeleteFunc(list[i].causes, func(c suspectCause) bool { return c.Print == f })
+		}
+		p.pending[upstream] = slices.DeleteFunc(list, func(s suspect) bool { return len(s.causes) == 0 })
 	}
 	counted, blocked = len(p.tracker.Runs(f)) > 0, !p.tracker.BlockedUntil(f).IsZero()
 	p.tracker.Clear(f)
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -32,17 +32,20 @@
 	}
 }
 
+// causes returns the cause of a request that only its caller sends.
+func causes(f crash.Fingerprint) []crash.Cause { return []crash.Cause{{Kind: crash.Repeat, Print: f}} }
+
 func brokenRun(f crash.Fingerprint, upstream string, sent time.Time) requestBroken {
-	return requestBroken{relay.BrokenRun{Fingerprint: f, Upstream: roster.Upstream{ID: upstream}, Sent: sent}}
+	return requestBroken{relay.BrokenRun{Causes: causes(f), Upstream: roster.Upstream{ID: upstream}, Sent: sent}}
 }
 
 func completed(f crash.Fingerprint) requestCompleted {
-	return requestCompleted{relay.CompletedRun{Fingerprint: f, Status: http.StatusOK}}
+	return requestCompleted{relay.CompletedRun{Causes: causes(f), Status: http.StatusOK}}
 }
 
 // remaining returns for how long the request path refuses a request.
 func (c *control) remaining(now time.Time, f crash.Fingerprint) time.Duration {
-	return crashTracker{c}.BlockedFor(now, f)
+	return crashTracker{c}.Blocked(now, causes(f)).Remaining
 }
 
 // A broken connection counts against its request only after the upstream is known
@@ -220,16 +223,16 @@
 		c.noteCrash(at, "e1", at, learnedByDial)
 	}
 	tracker := crashTracker{c}
-	is.Equal(tracker.Admit(start, 8), time.Duration(0))
-	is.True(tracker.Admit(start.Add(3*time.Second), 7) > trialTime)
+	is.Equal(tracker.Admit(start, causes(8)).Remaining, time.Duration(0))
+	is.True(tracker.Admit(start.Add(3*time.Second), causes(7)).Remaining > trialTime)
 	over := start.Add(2*time.Second + blockTime)
-	is.Equal(tracker.Admit(over, 7), time.Duration(0))
-	is.Equal(tracker.Admit(over, 7), trialTime)
-	is.Equal(tracker.BlockedFor(over, 7), time.Duration(0)) // the trial itself may be sent
-	is.Equal(tracker.Admit(over.Add(trialTime), 7), time.Duration(0))
+	is.Equal(tracker.Admit(over, causes(7)).Remaining, time.Duration(0))
+	is.Equal(tracker.Admit(over, causes(7)).Remaining, trialTime)
+	is.Equal(tracker.Blocked(over, causes(7)).Remaining, time.Duration(0)) // the trial itself may be sent
+	is.Equal(tracker.Admit(over.Add(trialTime), causes(7)).Remaining, time.Duration(0))
 	c.noteCompleted(completed(7))
 	for range 3 {
-		is.Equal(tracker.Admit(over.Add(trialTime), 7), time.Duration(0))
+		is.Equal(tracker.Admit(over.Add(trialTime), causes(7)).Remaining, time.Duration(0))
 	}
 }
 
@@ -249,7 +252,7 @@
 		}
 		var runs []crashRun
 		for i := range 3 {
-			runs = append(runs, crashRun{Fingerprint: 7, ID: uint64(i + 1), Upstream: strconv.Itoa(i)})
+			runs = append(runs, crashRun{ID: uint64(i + 1), Upstream: strconv.Itoa(i), Causes: []suspectCause{{Print: 7, Kind: crash.Repeat}}})
 		}
 		vm.recordCrashes(start, runs)
 		admitted[vm.remaining(start, 7)-blockTime]++
@@ -277,7 +280,7 @@
 func TestCompletionsExpire(t *testing.T) {
 	is := is.New(t)
 	var c completions
-	c.add(start, 7)
+	c.add(start, causes(7))
 	is.True(c.has(start, 7))
 	is.True(!c.has(start, 8))
 	is.True(c.has(start.Add(completionTime), 7))
@@ -293,7 +296,7 @@
 	crashes := 0
 	for at := start; at.Sub(start) < 24*time.Hour; at = at.Add(10 * time.Second) {
 		c.expirePoison(at)
-		if tracker.Admit(at, 7) > 0 {
+		if tracker.Admit(at, causes(7)).Remaining > 0 {
 			continue
 		}
 		crashes++
@@ -318,3 +321,37 @@
 		is.Equal(c.remaining(at, 7), time.Duration(0))
 	}
 }
+
+// Guards against the answer to another caller of the same content that ends the suspicion
+// of a request which crashes upstreams (incident BUDGET, a request that crashes replicas).
+func TestAnswerToAnotherCallerDoesNotClearARequest(t *testing.T) {
+	is := is.New(t)
+	vm := loneVM()
+	content := crash.Cause{Kind: crash.Content, Print: 8}
+	request, another := append(causes(7), content), append(causes(9), content)
+	at := start
+	for _, id := range []string{"e1", "e2", "e3"} {
+		at = at.Add(time.Second)
+		is.Equal(crashTracker{vm}.Admit(at, request).Remaining, time.Duration(0))
+		vm.noteBroken(t.Context(), at, requestBroken{relay.BrokenRun{Causes: request, Upstream: roster.Upstream{ID: id}, Sent: at}})
+		vm.noteCrash(at, id, at, learnedByDial)
+		vm.noteCompleted(requestCompleted{relay.CompletedRun{Causes: another, Status: http.StatusOK}})
+	}
+	is.True(crashTracker{vm}.Admit(at, request).Remaining > 0)
+	is.Equal(crashTracker{vm}.Admit(at, another).Remaining, time.Duration(0))
+}
+
+// A request that its caller sends from one address after the other is known by its content.
+func TestRequestFromManyAddressesIsBlocked(t *testing.T) {
+	is := is.New(t)
+	vm := loneVM()
+	content := crash.Cause{Kind: crash.Content, Print: 8}
+	at := start
+	for i, id := range []string{"e1", "e2", "e3"} {
+		at = at.Add(time.Second)
+		request := append(causes(crash.Fingerprint(10+i)), content)
+		vm.noteBroken(t.Context(), at, requestBroken{relay.BrokenRun{Causes: request, Upstream: roster.Upstream{ID: id}, Sent: at}})
+		vm.noteCrash(at, id, at, learnedByDial)
+	}
+	is.Equal(crashTracker{vm}.Admit(at, append(causes(20), content)), relay.Block{Remaining: blockTime, Cause: content})
+}
--- a/internal/edge/scheduling.go
+++ b/internal/edge/scheduling.go
@@ -32,7 +32,7 @@
 	case p.BlockNotice != nil:
 		c.recordCrashes(now, p.BlockNotice.Runs)
 	case p.ClearNotice != nil:
-		c.clear(p.ClearNotice.Fingerprint, zap.String("request", p.ClearNotice.Request), zap.Stringer("from", r.from))
+		c.applyClear(r.from, p.ClearNotice)
 	case p.PaceRequest != nil:
 		c.handlePaceRequest(now, r.from, p.PaceRequest)
 	case p.PaceReply != nil:
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -28,7 +28,7 @@
 type state struct {
 	Topics  map[platform.Topic][]platform.Record `msgpack:"t"`
 	Era     int64                                `msgpack:"e,omitempty"` // era of the store in which they were read
-	Crashes []crashRun                           `msgpack:"x,omitempty"` // crashes under requests, which the store may not have yet
+	Crashes []crashRun                           `msgpack:"c,omitempty"` // crashes under requests, which the store may not have yet
 }
 
 // stateRequest asks the control loop for its state.
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -32,10 +32,10 @@
 	return !e.Sent.After(o.began)
 }
 
-// suspect is a request that may have crashed its upstream.
+// suspect is a run of a request that may have crashed its upstream.
 type suspect struct {
-	fingerprint crash.Fingerprint
-	run         crash.Run
+	run    crash.Run
+	causes []suspectCause
 }
 
 // handlePoison handles the events about poison requests. It returns false for any other
@@ -86,16 +86,20 @@
 		return
 	}
 	list := c.poison.pending[id]
-	if len(list) < maxFingerprints {
+	if len(list) < maxCauses {
 		c.poison.runs++
-		list = append(list, suspect{fingerprint: e.Fingerprint, run: crash.Run{
-			ID: crash.RunID(c.self.Name, strconv.FormatInt(c.self.Boot, 10), c.poison.runs), Upstream: id, Sent: e.Sent, Ended: now, Harmless: c.poison.complete.has(now, e.Fingerprint),
-		}})
+		s := suspect{run: crash.Run{
+			ID: crash.RunID(c.self.Name, strconv.FormatInt(c.self.Boot, 10), c.poison.runs), Upstream: id, Sent: e.Sent, Ended: now,
+		}}
+		for _, cause := range e.Causes {
+			s.causes = append(s.causes, suspectCause{Print: cause.Print, Kind: cause.Kind, Harmless: c.poison.complete.has(now, cause.Print)})
+		}
+		list = append(list, s)
 	}
 	c.poison.pending[id], c.poison.stale = list, true
 	c.metrics.Suspected("broke off")
 	c.logger.Info("crash: request broke off", zap.String("request", e.Request), zap.String("upstream", id),
-		zap.Stringer("print", e.Fingerprint), zap.Stringer("caller", e.Caller), zap.Bool("silent", e.Silent))
+		zap.Stringer("print", e.Causes[0].Print), zap.Stringer("caller", e.Caller), zap.Bool("silent", e.Silent))
 	if e.Sent.Before(c.poison.crashed[id]) {
 		c.reportSuspects(now, id, learnedBefore)
 	}
@@ -143,7 +147,9 @@
 		zap.Int("suspects", len(list)), zap.Duration("after", now.Sub(list[0].run.Ended)))
 	var runs []crashRun
 	for _, s := range list {
-		runs = append(runs, newCrashRun(now, s.fingerprint, s.run))
+		run := newCrashRun(now, s.run)
+		run.Causes = s.causes
+		runs = append(runs, run)
 	}
 	for part := range slices.Chunk(runs, packetRuns) {
 		c.sendToAll(packet{CrashReport: &crashReport{Runs: part}})
@@ -164,14 +170,14 @@
 }
 
 // countCrashes counts crashes against the requests that ran meanwhile, and returns the
-// requests that are blocked because of them.
+// causes that are blocked because of them.
 func (c *control) countCrashes(now time.Time, runs []crashRun) []crash.Fingerprint {
 	c.poison.reviewAt = time.Time{} // saves the new count with the next tick
 	return c.recordCrashes(now, runs)
 }
 
 // handleCrashReport counts crashes that another VM reports. The VMs that are to save the
-// crashes of a request also tell the others to block it, and the reporter, which they may
+// crashes of a cause also tell the others to block it, and the reporter, which they may
 // not know yet: it may not know of the earlier crashes.
 func (c *control) handleCrashReport(now time.Time, from netip.AddrPort, runs []crashRun) {
 	for _, f := range c.countCrashes(now, runs) {
@@ -182,21 +188,17 @@
 	}
 }
 
-// sendBlock tells all VMs to block a request.
+// sendBlock tells all VMs to block a cause.
 func (c *control) sendBlock(now time.Time, f crash.Fingerprint) {
 	c.sendToAll(packet{BlockNotice: c.newBlockNotice(now, f)})
 }
 
 func (c *control) newBlockNotice(now time.Time, f crash.Fingerprint) *blockNotice {
-	notice := &blockNotice{}
-	for _, r := range c.poison.tracker.Runs(f) {
-		notice.Runs = append(notice.Runs, newCrashRun(now, f, r))
-	}
-	return notice
+	return &blockNotice{Runs: newCrashRuns(now, f, c.poison.tracker.Runs(f))}
 }
 
 // savesCrashes reports whether this VM is one of those that save the crashes under a
-// request, by the VMs that it knows.
+// cause, by the VMs that it knows.
 func (c *control) savesCrashes(f crash.Fingerprint) bool {
 	names, _ := c.liveVMs()
 	return slices.Contains(rank.Top(f.String(), names, tallyVMs), c.self.Name)
@@ -222,34 +224,45 @@
 // knownCrashes returns all crashes under requests that this VM knows of.
 func (c *control) knownCrashes(now time.Time) []crashRun {
 	var runs []crashRun
+	index := map[uint64]int{} // of each run, by its ID
 	for _, f := range c.poison.tracker.Repeated(1) {
-		for _, r := range c.poison.tracker.Runs(f) {
-			runs = append(runs, newCrashRun(now, f, r))
+		for _, r := range newCrashRuns(now, f, c.poison.tracker.Runs(f)) {
+			if i, ok := index[r.ID]; ok {
+				runs[i].Causes = append(runs[i].Causes, r.Causes...)
+				continue
+			}
+			index[r.ID] = len(runs)
+			runs = append(runs, r)
 		}
 	}
 	return runs
 }
 
-// recordCrashes records crashes, and returns the requests that are blocked because of
-// them.
+// recordCrashes records crashes, and returns the causes that are blocked because of them.
 func (c *control) recordCrashes(now time.Time, runs []crashRun) []crash.Fingerprint {
-	var blocked []crash.Fingerprint
+	var changed []suspectCause
 	for _, r := range runs {
-		if !c.poison.tracker.Record(now, r.Fingerprint, r.at(now)) {
-			continue
+		for _, cause := range r.Causes {
+			if !c.poison.tracker.Record(now, cause.Print, r.at(now, cause)) {
+				continue
+			}
+			changed = append(changed, cause)
+			c.metrics.Suspected("counted")
+			crashes := len(c.poison.tracker.Runs(cause.Print))
+			level := zap.InfoLevel
+			if crashes == 1 { // usually no cause, and each VM counts it
+				level = zap.DebugLevel
+			}
+			c.logger.Log(level, "crash: counted", zap.String("upstream", r.Upstream), zap.Stringer("cause", cause.Kind), zap.Stringer("print", cause.Print),
+				zap.Int("crashes", crashes), zap.Bool("harmless", cause.Harmless))
 		}
-		c.poison.stale = true
-		c.metrics.Suspected("counted")
-		crashes := len(c.poison.tracker.Runs(r.Fingerprint))
-		level := zap.InfoLevel
-		if crashes == 1 { // usually no cause, and each VM counts it
-			level = zap.DebugLevel
-		}
-		c.logger.Log(level, "crash: counted", zap.String("upstream", r.Upstream), zap.Stringer("print", r.Fingerprint),
-			zap.Int("crashes", crashes), zap.Bool("harmless", r.Harmless))
-		if until := c.poison.tracker.BlockedUntil(r.Fingerprint); now.Before(until) {
-			c.logger.Warn("relay: blocking a request that crashes upstreams", zap.Stringer("print", r.Fingerprint), zap.Duration("for", until.Sub(now)))
-			blocked = append(blocked, r.Fingerprint)
+	}
+	c.poison.stale = c.poison.stale || len(changed) > 0
+	var blocked []crash.Fingerprint
+	for _, cause := range changed {
+		if until := c.poison.tracker.BlockedUntil(cause.Print); now.Before(until) && !slices.Contains(blocked, cause.Print) {
+			c.logger.Warn("relay: blocking requests that crash upstreams", zap.Stringer("cause", cause.Kind), zap.Stringer("print", cause.Print), zap.Duration("for", until.Sub(now)))
+			blocked = append(blocked, cause.Print)
 		}
 	}
 	if len(blocked) > 0 {
@@ -258,15 +271,29 @@
 	return blocked
 }
 
-// noteCompleted handles the complete run of a request under which upstreams have
-// crashed before, or may have: the request is not the cause.
+// noteCompleted handles the complete run of a request under whose causes upstreams have
+// crashed before, or may have: they are not to blame.
 func (c *control) noteCompleted(e requestCompleted) {
-	if c.clear(e.Fingerprint, zap.String("request", e.Request), zap.Stringer("caller", e.Caller), zap.String("upstream", e.Upstream), zap.Int("status", e.Status)) {
-		c.sendToAll(packet{ClearNotice: &clearNotice{Fingerprint: e.Fingerprint, Request: e.Request}})
+	notice := &clearNotice{Request: e.Request}
+	for _, cause := range e.Causes {
+		if c.clear(cause.Print, zap.String("request", e.Request), zap.Stringer("caller", e.Caller), zap.String("upstream", e.Upstream), zap.Int("status", e.Status)) {
+			notice.Causes = append(notice.Causes, cause.Print)
+		}
+	}
+	if len(notice.Causes) > 0 {
+		c.sendToAll(packet{ClearNotice: notice})
+	}
+}
+
+// applyClear forgets the crashes under causes with which a request ran to its end at
+// another VM.
+func (c *control) applyClear(from netip.AddrPort, n *clearNotice) {
+	for _, f := range n.Causes {
+		c.clear(f, zap.String("request", n.Request), zap.Stringer("from", from))
 	}
 }
 
-// clear forgets the crashes of a request. It reports whether there were any, and logs
+// clear forgets the crashes under a cause. It reports whether there were any, and logs
 // them with the fields, which tell why.
 func (c *control) clear(f crash.Fingerprint, why ...zap.Field) bool {
 	crashes := len(c.poison.tracker.Runs(f))
--- a/internal/relay/crash_tracker.go
+++ b/internal/relay/crash_tracker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"strings"
 	"time"
@@ -17,13 +18,12 @@
 // CrashTracker tracks poison requests, which crash the upstreams that run them, and
 // tells which requests are blocked.
 type CrashTracker interface {
-	// Admit returns 0 if a request with fingerprint f that has just arrived may run,
-	// and otherwise after what time it may be tried again. When the time for which it
-	// was blocked is over, one run at a time is admitted.
-	Admit(now time.Time, f crash.Fingerprint) time.Duration
-	// BlockedFor returns how long after now an admitted request with fingerprint f
-	// stays blocked, or 0 if the request may run.
-	BlockedFor(now time.Time, f crash.Fingerprint) time.Duration
+	// Admit tells whether a request that has just arrived may run. causes are what may
+	// make it crash upstreams. When the time for which one of them was blocked is over,
+	// one run at a time is admitted.
+	Admit(now time.Time, causes []crash.Cause) Block
+	// Blocked tells whether an admitted request has been blocked since.
+	Blocked(now time.Time, causes []crash.Cause) Block
 	// ReportBroken reports a run that ended without a complete answer; the upstream
 	// may have crashed.
 	ReportBroken(r BrokenRun)
@@ -33,24 +33,31 @@
 	ReportCompleted(now time.Time, r CompletedRun)
 }
 
+// Block tells for how long a request is blocked, and why. The zero value is that of a
+// request that may run.
+type Block struct {
+	Remaining time.Duration
+	Cause     crash.Cause
+}
+
 // CompletedRun is a run of a request that ended with a complete answer.
 type CompletedRun struct {
-	Request     string // id of the request
-	Fingerprint crash.Fingerprint
-	Caller      netip.Addr // address that the request came from
-	Upstream    string     // id of the upstream
-	Status      int        // HTTP status of the answer
+	Request  string // id of the request
+	Causes   []crash.Cause
+	Caller   netip.Addr // address that the request came from
+	Upstream string     // id of the upstream
+	Status   int        // HTTP status of the answer
 }
 
 // BrokenRun is a run of a request that ended without a complete answer.
 type BrokenRun struct {
-	Request     string // id of the request
-	Fingerprint crash.Fingerprint
-	Caller      netip.Addr // address that the request came from
-	Upstream    roster.Upstream
-	Sent        time.Time // when the request was sent to the upstream
-	Heard       time.Time // when something last arrived from the upstream, for any request
-	Silent      bool      // the upstream left the connection open and sent nothing
+	Request  string        // id of the request
+	Causes   []crash.Cause // what may have crashed the upstream; the request and its caller first
+	Caller   netip.Addr    // address that the request came from
+	Upstream roster.Upstream
+	Sent     time.Time // when the request was sent to the upstream
+	Heard    time.Time // when something last arrived from the upstream, for any request
+	Silent   bool      // the upstream left the connection open and sent nothing
 }
 
 // quietTime is how long an upstream has to be silent before a request ends by its
@@ -63,13 +70,24 @@
 // credentialHeaders are the headers that tell an upstream who the caller is.
 var credentialHeaders = []string{"Authorization", "Cookie"}
 
-// fingerprint returns a hash of what the upstream gets of the request, without the
-// headers that differ between the repeats of a request. The caller's address is not
-// part of it: upstreams don't see it, and it changes.
-func (x *exchange) fingerprint() crash.Fingerprint {
-	if x.print != 0 {
-		return x.print
+// causes returns what may make the request crash upstreams: the request, which its caller
+// may repeat, and its content, which others may send too or which the caller may send from
+// another address.
+func (x *exchange) causes() []crash.Cause {
+	if x.suspects == nil {
+		content := x.contentHash()
+		repeat := xxhash.Sum64String(fmt.Sprintf("%x\x00%s", content, x.caller()))
+		x.suspects = []crash.Cause{{Kind: crash.Repeat, Print: crash.Fingerprint(repeat)}, {Kind: crash.Content, Print: crash.Fingerprint(content)}}
 	}
+	return x.suspects
+}
+
+// print returns the fingerprint of the request and its caller, for logs.
+func (x *exchange) print() crash.Fingerprint { return x.causes()[0].Print }
+
+// contentHash returns a hash of what the upstream gets of the request, without the
+// headers that differ between the repeats of a request.
+func (x *exchange) contentHash() uint64 {
 	d := xxhash.New()
 	for _, part := range []string{x.r.Method, x.r.Host, x.r.RequestURI, x.call.Model, x.call.Adapter} {
 		_, _ = d.WriteString(part + "\x00") // never fails
@@ -78,8 +96,7 @@
 		_, _ = d.WriteString(strings.Join(x.r.Header.Values(name), "\x00") + "\x00") // never fails
 	}
 	_, _ = d.Write(x.body)
-	x.print = crash.Fingerprint(d.Sum64())
-	return x.print
+	return d.Sum64()
 }
 
 // caller returns the address that the request came from; the zero value if it is not known.
@@ -94,17 +111,23 @@
 // refuseArrived refuses the request, which has just arrived, if it is blocked because it
 // crashed too many upstreams. It reports whether the request was refused.
 func (x *exchange) refuseArrived() bool {
-	remaining := x.config.CrashTracker.Admit(time.Now(), x.fingerprint())
-	if remaining > 0 {
-		x.refuse(reasonPoison, remaining)
-	}
-	return remaining > 0
+	return x.refusePoison(x.config.CrashTracker.Admit(time.Now(), x.causes()))
+}
+
+// blocked tells whether a request that is about to be sent is blocked: that may have
+// happened while it waited, or because of its last send.
+func (x *exchange) blocked() Block {
+	return x.config.CrashTracker.Blocked(time.Now(), x.causes())
 }
 
-// blockedFor returns how long a request that is about to be sent stays blocked, or 0: it
-// may have been blocked while it waited, or because of its last send.
-func (x *exchange) blockedFor() time.Duration {
-	return x.config.CrashTracker.BlockedFor(time.Now(), x.fingerprint())
+// refusePoison refuses the request if it is blocked, and reports whether it is.
+func (x *exchange) refusePoison(b Block) bool {
+	if b.Remaining <= 0 {
+		return false
+	}
+	x.blockedBy = b.Cause
+	x.refuse(reasonPoison, b.Remaining)
+	return true
 }
 
 // reportBroken tells the CrashTracker that a run ended without a complete answer because
@@ -116,7 +139,7 @@
 		return
 	}
 	x.config.CrashTracker.ReportBroken(BrokenRun{
-		Request: x.call.ID, Fingerprint: x.fingerprint(), Caller: x.caller(), Upstream: r.upstream, Sent: r.sent, Heard: r.sign.time(), Silent: silent,
+		Request: x.call.ID, Causes: x.causes(), Caller: x.caller(), Upstream: r.upstream, Sent: r.sent, Heard: r.sign.time(), Silent: silent,
 	})
 }
 
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -48,8 +48,7 @@
 	var last result
 	var lastUpstream string
 	for {
-		if remaining := x.blockedFor(); x.sends > 0 && remaining > 0 {
-			x.refuse(reasonPoison, remaining)
+		if x.sends > 0 && x.refusePoison(x.blocked()) {
 			return
 		}
 		u, wait, ok := x.pickUpstream(tried)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -164,13 +164,14 @@
 	body        []byte
 	started     time.Time
 	deadline    time.Time
-	ctx         context.Context   //nolint:containedctx // has the lifetime of the request
-	view        *View             // at the arrival of the request; its configuration applies until the end
-	sends       int               // number of times that the request was sent to an upstream
-	mayHaveRun  bool              // an upstream may have run the request
-	headersSent bool              // status and headers were written to the caller
-	lastID      string            // id of the last event written to the caller
-	print       crash.Fingerprint // 0 before the first call of fingerprint
+	ctx         context.Context //nolint:containedctx // has the lifetime of the request
+	view        *View           // at the arrival of the request; its configuration applies until the end
+	sends       int             // number of times that the request was sent to an upstream
+	mayHaveRun  bool            // an upstream may have run the request
+	headersSent bool            // status and headers were written to the caller
+	lastID      string          // id of the last event written to the caller
+	suspects    []crash.Cause   // nil before the first call of causes
+	blockedBy   crash.Cause     // if it was refused because it crashes upstreams
 }
 
 // ServeHTTP forwards one request to an upstream and passes the answer back, or
@@ -398,7 +399,10 @@
 		zap.Duration("after", time.Since(x.started)), zap.Int("sends", x.sends),
 	}
 	if x.sends > 0 || reason == reasonPoison {
-		fields = append(fields, zap.Stringer("print", x.fingerprint()))
+		fields = append(fields, zap.Stringer("print", x.print()))
+	}
+	if reason == reasonPoison {
+		fields = append(fields, zap.Stringer("cause", x.blockedBy.Kind), zap.Stringer("causePrint", x.blockedBy.Print))
 	}
 	if x.route != nil {
 		fields = append(fields, zap.String("route", x.route.Name), zap.Int64("version", x.view.Table.Version))
@@ -410,7 +414,7 @@
 func (x *exchange) recordAnswer(upstream string, status int) {
 	if status < http.StatusInternalServerError { // otherwise it may have failed before it ran
 		x.config.CrashTracker.ReportCompleted(time.Now(), CompletedRun{
-			Request: x.call.ID, Fingerprint: x.fingerprint(), Caller: x.caller(), Upstream: upstream, Status: status,
+			Request: x.call.ID, Causes: x.causes(), Caller: x.caller(), Upstream: upstream, Status: status,
 		})
 	}
 	x.config.Metrics.Answered(x.route.Kind.String())
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -48,9 +48,9 @@
 			x.refuse(string(reservation.Refusal.Reason), reservation.Refusal.Wait)
 			return
 		}
-		if remaining := x.blockedFor(); remaining > 0 {
+		if b := x.blocked(); b.Remaining > 0 {
 			slot.Release(engine.Done)
-			x.refuse(reasonPoison, remaining)
+			x.refusePoison(b)
 			return
 		}
 		retry := x.attempt(slot)
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -1,8 +1,9 @@
-// Package crash detects poison requests, which crash the upstreams that run them. A
-// request is identified by a fingerprint of its content, so a blocked request
+// Package crash detects poison requests, which crash the upstreams that run them. What
+// may be the cause of a crash is identified by a fingerprint, so a blocked request
 // cannot run again under another key.
 //
-// A Tracker counts the crashes of upstreams that ran a request. A VM records the crashes
+// A Tracker counts, for each such cause, the crashes of upstreams that ran a request with
+// it. A VM records the crashes
 // that it sees and passes them on to the other VMs: tanagerlb serve in a stream of the
 // log, tanagerlb edge in the fleet topic of the platform's store.
 package crash
@@ -17,9 +18,37 @@
 	"github.com/tanagerlb/tanagerlb/pkg/record"
 )
 
-// Fingerprint is a hash of a request's content.
+// Fingerprint is a hash that identifies a Cause.
 type Fingerprint uint64
 
+// Cause is something about a request that may crash the upstreams which run it.
+type Cause struct {
+	Kind  Kind
+	Print Fingerprint // differs from those of causes of another kind
+}
+
+// Kind tells what a Cause is. The values are kept, as stored records hold them.
+type Kind uint8
+
+const (
+	// Content is the content of requests, whoever sends them.
+	Content Kind = iota
+	// Repeat is the content of requests and their caller: a request and its repeats.
+	Repeat
+)
+
+// String returns the name of the kind, as it stands in logs.
+func (k Kind) String() string {
+	switch k {
+	case Content:
+		return "content"
+	case Repeat:
+		return "request"
+	default:
+		return "unknown"
+	}
+}
+
 // String returns the fingerprint in hexadecimal, as it stands in logs.
 func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
 
@@ -41,14 +70,15 @@
 	return texts
 }
 
-// Run is a run of a request during which its upstream crashed.
+// Run is a run of a request during which its upstream crashed, as it counts for one cause.
 type Run struct {
 	ID       uint64    // identifies the run among the runs of all VMs
+	Kind     Kind      // of the cause
 	Upstream string    // id of the upstream
 	Sent     time.Time // when the request was sent to the upstream
 	Ended    time.Time // when the request broke off
 	Alone    bool      // no other request that is a suspect ran there at the same time
-	Harmless bool      // the request had run to its end shortly before
+	Harmless bool      // a request with the cause had run to its end shortly before
 }
 
 // RunID returns the ID of a run: the VM that sent the request, the run of the VM's
@@ -67,6 +97,7 @@
 // SavedRun is a Run as it is stored. Times are in Unix milliseconds.
 type SavedRun struct {
 	ID       uint64 `json:"id"`
+	Kind     Kind   `json:"kind,omitempty"`
 	Upstream string `json:"upstream"`
 	Sent     int64  `json:"sent"`
 	Ended    int64  `json:"ended"`
@@ -76,12 +107,12 @@
 
 // Save returns the run as it is stored.
 func (r Run) Save() SavedRun {
-	return SavedRun{ID: r.ID, Upstream: r.Upstream, Sent: r.Sent.UnixMilli(), Ended: r.Ended.UnixMilli(), Alone: r.Alone, Harmless: r.Harmless}
+	return SavedRun{ID: r.ID, Kind: r.Kind, Upstream: r.Upstream, Sent: r.Sent.UnixMilli(), Ended: r.Ended.UnixMilli(), Alone: r.Alone, Harmless: r.Harmless}
 }
 
 // Load returns the run. It may have ended in the future, as the clocks of VMs differ.
 func (r SavedRun) Load() Run {
-	return Run{ID: r.ID, Upstream: r.Upstream, Sent: time.UnixMilli(r.Sent), Ended: time.UnixMilli(r.Ended), Alone: r.Alone, Harmless: r.Harmless}
+	return Run{ID: r.ID, Kind: r.Kind, Upstream: r.Upstream, Sent: time.UnixMilli(r.Sent), Ended: time.UnixMilli(r.Ended), Alone: r.Alone, Harmless: r.Harmless}
 }
 
 // Stream is the log stream of the records about crashes.
--- a/pkg/crash/tracker.go
+++ b/pkg/crash/tracker.go
@@ -8,26 +8,25 @@
 // TrackerConfig sets when a Tracker blocks a request, for how long, and what it
 // remembers.
 type TrackerConfig struct {
-	Crashes     int           // a request is blocked once this many upstreams have crashed while they ran it
-	Alone       int           // the same for requests whose runs were alone (Run.Alone)
-	Harmless    int           // the same for requests of which a run was harmless (Run.Harmless); Crashes if not set
-	Block       time.Duration // how long it is blocked after the last of these crashes; blockGrowth times as long for each further crash
-	MaxBlock    time.Duration // longest time for which a request is blocked
-	TTL         time.Duration // the crashes of a request are forgotten when no further one follows for this long, not counting the time for which it is blocked
-	Restart     time.Duration // shortest time from a crash of an upstream until it runs requests again
-	MaxRequests int           // maximum number of requests whose crashes are remembered
+	Crashes   int           // a cause is blocked once this many upstreams have crashed under it
+	Alone     int           // the same for causes whose runs were alone (Run.Alone)
+	Harmless  int           // the same for causes of which a run was harmless (Run.Harmless); Crashes if not set
+	Block     time.Duration // how long it is blocked after the last of these crashes; blockGrowth times as long for each further crash
+	MaxBlock  time.Duration // longest time for which a cause is blocked
+	TTL       time.Duration // the crashes under a cause are forgotten when no further one follows for this long, not counting the time for which it is blocked
+	Restart   time.Duration // shortest time from a crash of an upstream until it runs requests again
+	MaxCauses int           // maximum number of causes whose crashes are remembered
 }
 
-// blockGrowth is how many times longer a request is blocked after each further crash.
+// blockGrowth is how many times longer a cause is blocked after each further crash.
 const blockGrowth = 16
 
-// maxRuns bounds the runs that are remembered of one request.
+// maxRuns bounds the runs that are remembered of one cause.
 const maxRuns = 10
 
-// Tracker counts, for each fingerprint, the crashes of upstreams that ran a request
-// with that fingerprint. It has no state but the runs that were recorded, so all
-// trackers with the same runs block the same requests. Its methods must not be
-// called concurrently.
+// Tracker counts, for each cause, the crashes of upstreams that ran a request with it. It
+// has no state but the runs that were recorded, so all trackers with the same runs block
+// the same requests. Its methods must not be called concurrently.
 type Tracker struct {
 	config TrackerConfig
 	runs   map[Fingerprint][]Run // sorted by Ended
@@ -38,7 +37,7 @@
 	return &Tracker{config: c, runs: map[Fingerprint][]Run{}}
 }
 
-// Record records a crash of an upstream under a request. It returns false if the
+// Record records a crash of an upstream under a cause. It returns false if the
 // crash is already known or too old.
 func (t *Tracker) Record(now time.Time, f Fingerprint, r Run) bool {
 	if now.Sub(r.Ended) > t.config.MaxBlock+t.config.TTL {
@@ -51,7 +50,7 @@
 	if len(known) >= maxRuns && r.Ended.Before(known[0].Ended) {
 		return false
 	}
-	if len(known) == 0 && len(t.runs) >= t.config.MaxRequests {
+	if len(known) == 0 && len(t.runs) >= t.config.MaxCauses {
 		t.evict(now)
 	}
 	runs := append(slices.Clone(known), r)
@@ -60,22 +59,21 @@
 	return true
 }
 
-// Clear forgets the crashes of a request. It is to be called when the request has run
-// to its end.
+// Clear forgets the crashes under a cause. It is to be called when a request with it has
+// run to its end.
 func (t *Tracker) Clear(f Fingerprint) { delete(t.runs, f) }
 
-// Runs returns the runs of a request during which an upstream crashed, one for each
-// crash.
+// Runs returns the runs of a cause during which an upstream crashed, one for each crash.
 func (t *Tracker) Runs(f Fingerprint) []Run { return t.runs[f] }
 
-// Unknown returns the runs of a request that saw other crashes than the given runs.
+// Unknown returns the runs of a cause that saw other crashes than the given runs.
 func (t *Tracker) Unknown(f Fingerprint, given []Run) []Run {
 	return slices.DeleteFunc(slices.Clone(t.runs[f]), func(r Run) bool {
 		return slices.ContainsFunc(given, func(g Run) bool { return g.ID == r.ID || g.sameCrash(r, t.config.Restart) })
 	})
 }
 
-// Repeated returns the requests under which at least the given number of upstreams
+// Repeated returns the causes under which at least the given number of upstreams
 // have crashed, in no particular order.
 func (t *Tracker) Repeated(crashes int) []Fingerprint {
 	var list []Fingerprint
@@ -87,7 +85,7 @@
 	return list
 }
 
-// BlockedUntil returns the end of the time for which a request is blocked. It is the
+// BlockedUntil returns the end of the time for which a cause is blocked. It is the
 // zero time if too few upstreams have crashed.
 func (t *Tracker) BlockedUntil(f Fingerprint) time.Time {
 	runs := t.runs[f]
@@ -102,7 +100,7 @@
 	return runs[len(runs)-1].Ended.Add(block)
 }
 
-// limit returns the number of crashes at which a request with these runs is blocked.
+// limit returns the number of crashes at which a cause with these runs is blocked.
 func (t *Tracker) limit(runs []Run) int {
 	switch {
 	case len(runs) > 0 && runs[0].Alone:
@@ -114,7 +112,7 @@
 	}
 }
 
-// Blocked returns the end of the time for which each request is blocked under which
+// Blocked returns the end of the time for which each cause is blocked under which
 // an upstream has crashed; the zero time if too few have.
 func (t *Tracker) Blocked() map[Fingerprint]time.Time {
 	blocked := make(map[Fingerprint]time.Time, len(t.runs))
@@ -124,20 +122,20 @@
 	return blocked
 }
 
-// Expire forgets the requests whose last crash, and the end of whose block, are older than
+// Expire forgets the causes whose last crash, and the end of whose block, are older than
 // TrackerConfig.TTL, and returns their fingerprints.
 func (t *Tracker) Expire(now time.Time) []Fingerprint {
 	var expired []Fingerprint
 	for f, runs := range t.runs {
 		if now.Sub(runs[len(runs)-1].Ended) > t.config.TTL && now.Sub(t.BlockedUntil(f)) > t.config.TTL {
-			delete(t.runs, f)
+			t.Clear(f)
 			expired = append(expired, f)
 		}
 	}
 	return expired
 }
 
-// evict makes room for one more request. It removes the expired requests or, if there
+// evict makes room for one more cause. It removes the expired causes or, if there
 // are none, the one with the fewest crashes, of these the one with the oldest.
 func (t *Tracker) evict(now time.Time) {
 	if len(t.Expire(now)) > 0 {
@@ -151,5 +149,5 @@
 			victim, least = f, runs
 		}
 	}
-	delete(t.runs, victim)
+	t.Clear(victim)
 }
--- a/pkg/crash/tracker_test.go
+++ b/pkg/crash/tracker_test.go
@@ -12,7 +12,7 @@
 
 var start = time.Unix(1_000_000, 0)
 
-var config = crash.TrackerConfig{Crashes: 3, Alone: 2, Block: time.Minute, MaxBlock: 20 * time.Minute, TTL: 10 * time.Minute, Restart: time.Second / 2, MaxRequests: 10}
+var config = crash.TrackerConfig{Crashes: 3, Alone: 2, Block: time.Minute, MaxBlock: 20 * time.Minute, TTL: 10 * time.Minute, Restart: time.Second / 2, MaxCauses: 10}
 
 // run returns a run that lasted from one second after start to another.
 func run(id uint64, upstream string, sent, ended float64) crash.Run {
@@ -127,5 +127,5 @@
 	for i := range 100 {
 		remembered += len(tracker.Runs(crash.Fingerprint(1000 + i)))
 	}
-	is.Equal(remembered, config.MaxRequests-1)
+	is.Equal(remembered, config.MaxCauses-1)
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -174,7 +174,7 @@
 		claims:    claim.New(),
 		lease:     claim.Lease{Length: t.Lease, Drift: t.Drift},
 		crashes: crash.NewTracker(crash.TrackerConfig{
-			Crashes: plainThreshold, Alone: blockThreshold, Block: t.Block, MaxBlock: t.MaxBlock, TTL: t.SuspectTTL, MaxRequests: maxSuspects,
+			Crashes: plainThreshold, Alone: blockThreshold, Block: t.Block, MaxBlock: t.MaxBlock, TTL: t.SuspectTTL, MaxCauses: maxSuspects,
 		}),
 		unreadCrashes: map[uint64]pendingRecord{},
 		keys: keys.New(keys.Config{
