fix(crash): a blocked request explains its crashes

Cause: what ran beside the request, or had its content, was in the same three crashes and was blocked with it.

A request of one caller that is blocked accounts for the crashes of upstreams that ran it; they don't count for a content any more. The test of the tracker failed before.

--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -254,10 +254,11 @@
 				level = zap.DebugLevel
 			}
 			c.logger.Log(level, "crash: counted", zap.String("upstream", r.Upstream), zap.Stringer("cause", cause.Kind), zap.Stringer("print", cause.Print),
-				zap.Int("crashes", crashes), zap.Bool("harmless", cause.Harmless))
+				zap.Int("crashes", crashes), zap.Int("unexplained", len(c.poison.tracker.Counted(cause.Print))), zap.Bool("harmless", cause.Harmless))
 		}
 	}
 	c.poison.stale = c.poison.stale || len(changed) > 0
+	// Only after all crashes are recorded is it known which are explained.
 	var blocked []crash.Fingerprint
 	for _, cause := range changed {
 		if until := c.poison.tracker.BlockedUntil(cause.Print); now.Before(until) && !slices.Contains(blocked, cause.Print) {
--- a/pkg/crash/tracker.go
+++ b/pkg/crash/tracker.go
@@ -24,17 +24,20 @@
 // maxRuns bounds the runs that are remembered of one cause.
 const maxRuns = 10
 
-// Tracker counts, for each cause, the crashes of upstreams that ran a request with it. It
-// has no state but the runs that were recorded, so all trackers with the same runs block
-// the same requests. Its methods must not be called concurrently.
+// Tracker counts, for each cause, the crashes of upstreams that ran a request with it. A
+// request that is blocked explains its crashes: they don't count for other causes, which
+// merely ran beside it or are part of it. A Tracker has no state but the runs that were
+// recorded, so all trackers with the same runs block the same requests. Its methods must
+// not be called concurrently.
 type Tracker struct {
-	config TrackerConfig
-	runs   map[Fingerprint][]Run // sorted by Ended
+	config  TrackerConfig
+	runs    map[Fingerprint][]Run // sorted by Ended
+	blocked map[Fingerprint]bool  // causes of kind Repeat that have enough crashes to be blocked
 }
 
 // NewTracker returns an empty tracker.
 func NewTracker(c TrackerConfig) *Tracker {
-	return &Tracker{config: c, runs: map[Fingerprint][]Run{}}
+	return &Tracker{config: c, runs: map[Fingerprint][]Run{}, blocked: map[Fingerprint]bool{}}
 }
 
 // Record records a crash of an upstream under a cause. It returns false if the
@@ -55,17 +58,44 @@
 	}
 	runs := append(slices.Clone(known), r)
 	slices.SortFunc(runs, func(a, b Run) int { return a.Ended.Compare(b.Ended) })
-	t.runs[f] = runs[max(len(runs)-maxRuns, 0):]
+	runs = runs[max(len(runs)-maxRuns, 0):]
+	t.runs[f] = runs
+	if r.Kind == Repeat && len(runs) >= t.limit(runs) {
+		t.blocked[f] = true
+	}
 	return true
 }
 
 // Clear forgets the crashes under a cause. It is to be called when a request with it has
 // run to its end.
-func (t *Tracker) Clear(f Fingerprint) { delete(t.runs, f) }
+func (t *Tracker) Clear(f Fingerprint) {
+	delete(t.runs, f)
+	delete(t.blocked, f)
+}
 
 // Runs returns the runs of a cause during which an upstream crashed, one for each crash.
 func (t *Tracker) Runs(f Fingerprint) []Run { return t.runs[f] }
 
+// Counted returns the runs of a cause that count for it: those that no blocked request
+// explains.
+func (t *Tracker) Counted(f Fingerprint) []Run {
+	runs := t.runs[f]
+	if len(t.blocked) == 0 || len(runs) == 0 || runs[0].Kind == Repeat {
+		return runs
+	}
+	return slices.DeleteFunc(slices.Clone(runs), t.explained)
+}
+
+// explained reports whether a blocked request ran at the upstream when it crashed.
+func (t *Tracker) explained(r Run) bool {
+	for f := range t.blocked {
+		if slices.ContainsFunc(t.runs[f], func(b Run) bool { return b.sameCrash(r, t.config.Restart) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // Unknown returns the runs of a cause that saw other crashes than the given runs.
 func (t *Tracker) Unknown(f Fingerprint, given []Run) []Run {
 	return slices.DeleteFunc(slices.Clone(t.runs[f]), func(r Run) bool {
@@ -88,7 +118,7 @@
 // BlockedUntil returns the end of the time for which a cause is blocked. It is the
 // zero time if too few upstreams have crashed.
 func (t *Tracker) BlockedUntil(f Fingerprint) time.Time {
-	runs := t.runs[f]
+	runs := t.Counted(f)
 	limit := t.limit(runs)
 	if len(runs) < limit {
 		return time.Time{}
--- a/pkg/crash/tracker_test.go
+++ b/pkg/crash/tracker_test.go
@@ -129,3 +129,34 @@
 	}
 	is.Equal(remembered, config.MaxCauses-1)
 }
+
+// Guards against the block of sound requests with the content of one that crashes
+// upstreams, or that merely ran beside it (incident BUDGET, a request that crashes
+// replicas).
+func TestTrackerBlamesTheRequestAndNotItsContent(t *testing.T) {
+	is := is.New(t)
+	const request, content, other = 7, 8, 9
+	tracker := crash.NewTracker(config)
+	for i, id := range []string{"e1", "e2", "e3"} {
+		r := run(uint64(10*i), id, float64(2*i), float64(2*i+1))
+		for f, kind := range map[crash.Fingerprint]crash.Kind{request: crash.Repeat, content: crash.Content, other: crash.Content} {
+			r.Kind = kind
+			is.True(tracker.Record(r.Ended, f, r))
+			r.ID++
+		}
+	}
+	is.True(!tracker.BlockedUntil(request).IsZero())
+	is.True(tracker.BlockedUntil(content).IsZero())
+	is.True(tracker.BlockedUntil(other).IsZero())
+	is.Equal(len(tracker.Runs(content)), 3)
+	is.Equal(len(tracker.Counted(content)), 0)
+
+	for i := range 3 { // crashes that the request does not explain
+		r := run(uint64(100+i), "e4", float64(20+2*i), float64(21+2*i))
+		is.True(tracker.Record(r.Ended, content, r))
+	}
+	is.True(!tracker.BlockedUntil(content).IsZero())
+
+	tracker.Clear(request)
+	is.True(!tracker.BlockedUntil(other).IsZero()) // its crashes have no other explanation any more
+}
