fix(crash): a content with a crash that no blocked request explains counts all of them

Cause: the crashes under the blocked request of one address did not count for the content, so those from the next address were counted anew. A content that crashes an upstream without the blocked request is more than something that ran beside it.

--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -254,7 +254,7 @@
 				level = zap.DebugLevel
 			}
 			c.logger.Log(level, "crash: counted", zap.String("upstream", r.Upstream), zap.Stringer("cause", cause.Kind), zap.Stringer("print", cause.Print),
-				zap.Int("crashes", crashes), zap.Int("unexplained", len(c.poison.tracker.Counted(cause.Print))), zap.Bool("harmless", cause.Harmless))
+				zap.Int("crashes", crashes), zap.Int("counted", len(c.poison.tracker.Counted(cause.Print))), zap.Bool("harmless", cause.Harmless))
 		}
 	}
 	c.poison.stale = c.poison.stale || len(changed) > 0
--- a/pkg/crash/tracker.go
+++ b/pkg/crash/tracker.go
@@ -25,8 +25,8 @@
 const maxRuns = 10
 
 // Tracker counts, for each cause, the crashes of upstreams that ran a request with it. A
-// request that is blocked explains its crashes: they don't count for other causes, which
-// merely ran beside it or are part of it. A Tracker has no state but the runs that were
+// request that is blocked explains its crashes: a cause that has no others merely ran beside
+// it, or is part of it, and is not blocked. A Tracker has no state but the runs that were
 // recorded, so all trackers with the same runs block the same requests. Its methods must
 // not be called concurrently.
 type Tracker struct {
@@ -76,14 +76,14 @@
 // Runs returns the runs of a cause during which an upstream crashed, one for each crash.
 func (t *Tracker) Runs(f Fingerprint) []Run { return t.runs[f] }
 
-// Counted returns the runs of a cause that count for it: those that no blocked request
-// explains.
+// Counted returns the runs of a cause that count for it: none if blocked requests explain
+// them all.
 func (t *Tracker) Counted(f Fingerprint) []Run {
 	runs := t.runs[f]
-	if len(t.blocked) == 0 || len(runs) == 0 || runs[0].Kind == Repeat {
+	if len(t.blocked) == 0 || len(runs) == 0 || runs[0].Kind == Repeat || slices.ContainsFunc(runs, func(r Run) bool { return !t.explained(r) }) {
 		return runs
 	}
-	return slices.DeleteFunc(slices.Clone(runs), t.explained)
+	return nil
 }
 
 // explained reports whether a blocked request ran at the upstream when it crashed.
