--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -99,7 +99,7 @@
 	c.poison.pending[id], c.poison.stale = list, true
 	c.metrics.Suspected("broke off")
 	c.logger.Info("crash: request broke off", zap.String("request", e.Request), zap.String("upstream", id),
-		zap.Stringer("print", e.Causes[0].Print), zap.Stringer("caller", e.Caller), zap.Bool("silent", e.Silent))
+		zap.Stringer("print", e.Causes[0].Print), zap.Stringer("caller", e.Caller), zap.Bool("silent", e.Silent), zap.Stringers("parts", e.Parts))
 	if e.Sent.Before(c.poison.crashed[id]) {
 		c.reportSuspects(now, id, learnedBefore)
 	}
--- a/internal/relay/crash_tracker.go
+++ b/internal/relay/crash_tracker.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/tanagerlb/tanagerlb/internal/link"
+	"github.com/tanagerlb/tanagerlb/pkg/call"
 	"github.com/tanagerlb/tanagerlb/pkg/crash"
 	"github.com/tanagerlb/tanagerlb/pkg/roster"
 )
@@ -53,6 +54,7 @@
 type BrokenRun struct {
 	Request  string        // id of the request
 	Causes   []crash.Cause // what may have crashed the upstream; the request and its caller first
+	Parts    []call.Part   // parts of the prompt that other requests may have too
 	Caller   netip.Addr    // address that the request came from
 	Upstream roster.Upstream
 	Sent     time.Time // when the request was sent to the upstream
@@ -139,7 +141,7 @@
 		return
 	}
 	x.config.CrashTracker.ReportBroken(BrokenRun{
-		Request: x.call.ID, Causes: x.causes(), Caller: x.caller(), Upstream: r.upstream, Sent: r.sent, Heard: r.sign.time(), Silent: silent,
+		Request: x.call.ID, Causes: x.causes(), Parts: x.call.SharedParts(), Caller: x.caller(), Upstream: r.upstream, Sent: r.sent, Heard: r.sign.time(), Silent: silent,
 	})
 }
 
--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -2,7 +2,10 @@
 // a caller connects to).
 package call
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Call holds what a caller states about a request in its headers.
 type Call struct {
@@ -22,6 +25,18 @@
 	Tokens int    `msgpack:"t"`
 }
 
+// String returns the id of the part in hexadecimal, as callers state it.
+func (p Part) String() string { return strconv.FormatUint(p.ID, 16) }
+
+// SharedParts returns the parts of the prompt that other requests may have too: all but the
+// last, which belongs to the request or its session.
+func (c *Call) SharedParts() []Part {
+	if len(c.PromptParts) == 0 {
+		return nil
+	}
+	return c.PromptParts[:len(c.PromptParts)-1]
+}
+
 // Timeout returns how long a request may take: the shorter of Deadline and the
 // timeout of its route. If either is 0, only the other one applies; if both are 0,
 // Timeout returns fallback.
