fix(relay,edge): block a part of prompts that crashes upstreams

Seen: requests with one part in common crashed 25 to 42 engines in 14 s, 9 to 47 of them reached engines later than 3 s after the fifth crash; 12 to 60 in 100 of the sound requests on the route began.

Cause: crashes were counted by request. Requests that are no two alike have one crash each.

Now each part of a prompt but the last is a cause of its own. What sound requests share with it must not be blocked: a part that was in a whole answer shortly before is no suspect, each VM knows that from its own answers and objects if another VM blocks such a part.

--- a/internal/edge/bench_test.go
+++ b/internal/edge/bench_test.go
@@ -137,7 +137,7 @@
 			}
 			next := uint64(remembered)
 			for b.Loop() {
-				runs := make([]crashRun, packetRuns)
+				runs := make([]crashRun, 20)
 				for i := range runs {
 					next++
 					runs[i] = crashRun{ID: next, Upstream: strconv.FormatUint(next, 10), Causes: []suspectCause{{Print: crash.Fingerprint(next%uint64(remembered) + 1)}}}
--- a/internal/edge/crash_tracker.go
+++ b/internal/edge/crash_tracker.go
@@ -43,6 +43,22 @@
 	return longest
 }
 
+// noteWhole notes that a request with these causes ran to its end.
+func (p *poison) noteWhole(now time.Time, causes []crash.Cause) {
+	parts := slices.IndexFunc(causes, func(c crash.Cause) bool { return c.Kind == crash.Part })
+	if parts < 0 {
+		parts = len(causes)
+	}
+	p.complete.add(now, causes[:parts])
+	p.whole.add(now, causes[parts:])
+}
+
+// isProved reports whether a cause is a part of prompts that was in a whole answer shortly
+// before: it cannot have crashed an upstream. All requests of a route may share it.
+func (p *poison) isProved(now time.Time, kind crash.Kind, f crash.Fingerprint) bool {
+	return kind == crash.Part && p.whole.has(now, f)
+}
+
 // trials holds the runs of requests with causes that were blocked until a moment ago. A run
 // that ends well lifts the suspicion; another crash blocks the cause again.
 type trials struct {
@@ -125,7 +141,7 @@
 
 // ReportCompleted implements relay.CrashTracker.
 func (t crashTracker) ReportCompleted(now time.Time, r relay.CompletedRun) {
-	t.control.poison.complete.add(now, r.Causes)
+	t.control.poison.noteWhole(now, r.Causes)
 	watched := *t.control.poison.watched.Load()
 	if slices.ContainsFunc(r.Causes, func(c crash.Cause) bool { _, ok := watched[c.Print]; return ok }) {
 		t.control.post(requestCompleted{r})
--- /dev/null
+++ b/internal/edge/parts_test.go
@@ -0,0 +1,132 @@
+package edge
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/tanagerlb/tanagerlb/internal/relay"
+	"github.com/tanagerlb/tanagerlb/pkg/crash"
+	"github.com/tanagerlb/tanagerlb/pkg/roster"
+)
+
+const (
+	sharedPart crash.Fingerprint = 1001 // in all requests
+	poisonPart crash.Fingerprint = 1002
+)
+
+// prompt returns the causes of a request with parts in its prompt; no two numbers are alike.
+func prompt(number int, parts ...crash.Fingerprint) []crash.Cause {
+	list := []crash.Cause{{Kind: crash.Repeat, Print: crash.Fingerprint(2 * number)}, {Kind: crash.Content, Print: crash.Fingerprint(2*number + 1)}}
+	for _, p := range parts {
+		list = append(list, crash.Cause{Kind: crash.Part, Print: p})
+	}
+	return list
+}
+
+// crashUnder lets an upstream crash under requests.
+func (c *control) crashUnder(t *testing.T, at time.Time, upstream string, requests ...[]crash.Cause) {
+	for _, r := range requests {
+		c.noteBroken(t.Context(), at, requestBroken{relay.BrokenRun{Causes: r, Upstream: roster.Upstream{ID: upstream}, Sent: at.Add(-time.Millisecond)}})
+	}
+	c.noteCrash(at, upstream, at, learnedByDial)
+	<-c.events // the check of the upstream has ended
+	delete(c.poison.probing, upstream)
+}
+
+func (c *control) complete(at time.Time, causes []crash.Cause) {
+	crashTracker{c}.ReportCompleted(at, relay.CompletedRun{Causes: causes, Status: http.StatusOK})
+}
+
+// Guards against a part of prompts that crashes one upstream after the other in requests
+// that are no two alike, and against the block of what sound requests share with them
+// (incident BUDGET, a part of a prompt that crashes replicas).
+func TestPartThatCrashesUpstreamsIsBlocked(t *testing.T) {
+	is := is.New(t)
+	vm := loneVM()
+	tracker := crashTracker{vm}
+	vm.complete(start, prompt(1, sharedPart))
+	at := start
+	for i := range 3 {
+		at = at.Add(time.Second)
+		is.Equal(tracker.Admit(at, prompt(50, sharedPart, poisonPart)), relay.Block{})
+		vm.crashUnder(t, at, fmt.Sprint("e", i), prompt(10+i, sharedPart, poisonPart), prompt(20+i, sharedPart))
+	}
+	is.Equal(tracker.Admit(at, prompt(50, sharedPart, poisonPart)), relay.Block{Remaining: blockTime, Cause: crash.Cause{Kind: crash.Part, Print: poisonPart}})
+	is.Equal(tracker.Admit(at, prompt(51, sharedPart)), relay.Block{})
+	is.Equal(tracker.Admit(at, prompt(20, sharedPart)), relay.Block{}) // ran beside one of them
+}
+
+// If all upstreams crash at once, what all requests share must not be blocked when they are
+// back.
+func TestPartInWholeAnswersIsNoSuspect(t *testing.T) {
+	is := is.New(t)
+	vms := newPeers(t, "a", "b", "c")
+	for _, vm := range vms[1:] { // the first one has just started
+		vm.complete(start, prompt(1, sharedPart))
+	}
+	at := start.Add(time.Second)
+	for i := range 12 {
+		vms[0].crashUnder(t, at, fmt.Sprint("e", i), prompt(10+i, sharedPart))
+	}
+	is.True(crashTracker{vms[0]}.Admit(at, prompt(50, sharedPart)).Remaining > 0)
+	deliver(t, at, vms...)
+	for _, vm := range vms {
+		is.Equal(crashTracker{vm}.Admit(at, prompt(50, sharedPart)), relay.Block{}) // the others object
+	}
+}
+
+// A VM that starts knows of the crashes under a part.
+func TestCountOfAPartOutlivesTheVMs(t *testing.T) {
+	is := is.New(t)
+	vm, _ := vmWithStore(t)
+	now := time.Now()
+	for i := range 3 {
+		now = now.Add(time.Second)
+		vm.crashUnder(t, now, fmt.Sprint("e", i), prompt(10+i, poisonPart))
+		if vm.save(t, now) { // not the first crash
+			vm = vm.restart(t, now)
+		}
+	}
+	is.True(crashTracker{vm}.Admit(now, prompt(50, poisonPart)).Remaining > 0)
+}
+
+// A request that is repeated is blocked, and not the parts that it shares with others.
+func TestRepeatedRequestExplainsItsParts(t *testing.T) {
+	is := is.New(t)
+	vm := loneVM()
+	at := start
+	for i := range 3 {
+		at = at.Add(time.Second)
+		vm.crashUnder(t, at, fmt.Sprint("e", i), prompt(10, poisonPart))
+	}
+	is.True(crashTracker{vm}.Admit(at, prompt(10, poisonPart)).Remaining > 0)
+	is.Equal(crashTracker{vm}.Admit(at, prompt(11, poisonPart)), relay.Block{})
+}
+
+func TestRunsFitInPackets(t *testing.T) {
+	is := is.New(t)
+	for _, parts := range []int{0, 2, 64} {
+		var runs []crashRun
+		for i := range 100 {
+			r := newCrashRun(start, crash.Run{ID: ^uint64(0), Upstream: "i-0123456789ab", Sent: start.Add(-time.Hour), Ended: start.Add(-time.Minute)})
+			for range 2 + parts {
+				r.Causes = append(r.Causes, suspectCause{Print: ^crash.Fingerprint(i), Kind: crash.Part, Harmless: true})
+			}
+			runs = append(runs, r)
+		}
+		total := 0
+		for _, list := range splitRuns(runs) {
+			data, err := msgpack.Marshal(packet{CrashReport: &crashReport{Runs: list}})
+			is.NoErr(err)
+			is.True(len(data) <= packetBytes)
+			total += len(list)
+		}
+		is.Equal(total, len(runs))
+	}
+	is.Equal(len(splitRuns(nil)), 0)
+}
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -45,9 +45,10 @@
 	// maxCauses bounds the number of causes whose crashes are remembered, and the number
 	// of suspects of each upstream.
 	maxCauses = 20_000
-	// packetRuns bounds the number of runs in one packet, which must fit in a
-	// datagram.
-	packetRuns = 12
+	// packetSize bounds the size of the runs in one packet, which must fit in a datagram.
+	// A run counts as runSize, a cause as one.
+	packetSize = 72
+	runSize    = 4
 	// tallyVMs is the number of VMs that save the crashes of a request. It is more
 	// than one, so that one of them may fail.
 	tallyVMs = 2
@@ -141,6 +142,7 @@
 type clearNotice struct {
 	Causes  []crash.Fingerprint `msgpack:"c"`
 	Request string              `msgpack:"r,omitempty"` // id of the request, for logs
+	Reply   bool                `msgpack:"a,omitempty"` // the sender objects to a blockNotice, whose sender is to tell all
 }
 
 // poison holds what a VM knows of poison requests. Each VM tells all others of the
@@ -161,8 +163,9 @@
 	unsaved  map[crash.Fingerprint]time.Time   // causes whose record in the store is out of date, and since when
 	asked    map[string]bool                   // VMs that were asked for the crashes that they know of
 	trials   trials
-	complete completions
-	reviewAt time.Time // time of the next check of what is to be saved
+	complete completions // requests
+	whole    completions // parts of prompts
+	reviewAt time.Time   // time of the next check of what is to be saved
 	// watched has the causes under which upstreams have crashed or may have, and the
 	// ends of the times for which they are blocked. The request path reads it.
 	watched atomic.Pointer[map[crash.Fingerprint]time.Time]
--- a/internal/edge/scheduling.go
+++ b/internal/edge/scheduling.go
@@ -30,7 +30,7 @@
 	case p.DrainNotice != nil:
 		c.applyDrainNotice(now, p.DrainNotice)
 	case p.BlockNotice != nil:
-		c.recordCrashes(now, p.BlockNotice.Runs)
+		c.handleBlockNotice(now, r.from, p.BlockNotice.Runs)
 	case p.ClearNotice != nil:
 		c.applyClear(r.from, p.ClearNotice)
 	case p.PaceRequest != nil:
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -92,6 +92,9 @@
 			ID: crash.RunID(c.self.Name, strconv.FormatInt(c.self.Boot, 10), c.poison.runs), Upstream: id, Sent: e.Sent, Ended: now,
 		}}
 		for _, cause := range e.Causes {
+			if c.poison.isProved(now, cause.Kind, cause.Print) {
+				continue
+			}
 			s.causes = append(s.causes, suspectCause{Print: cause.Print, Kind: cause.Kind, Harmless: c.poison.complete.has(now, cause.Print)})
 		}
 		list = append(list, s)
@@ -151,7 +154,7 @@
 		run.Causes = s.causes
 		runs = append(runs, run)
 	}
-	for part := range slices.Chunk(runs, packetRuns) {
+	for _, part := range splitRuns(runs) {
 		c.sendToAll(packet{CrashReport: &crashReport{Runs: part}})
 	}
 	for _, f := range c.countCrashes(now, runs) {
@@ -159,6 +162,24 @@
 	}
 }
 
+// splitRuns splits runs into lists that fit in a packet each.
+func splitRuns(runs []crashRun) [][]crashRun {
+	var lists [][]crashRun
+	begin, size := 0, 0
+	for i, r := range runs {
+		next := runSize + len(r.Causes)
+		if size > 0 && size+next > packetSize {
+			lists = append(lists, runs[begin:i])
+			begin, size = i, 0
+		}
+		size += next
+	}
+	if begin < len(runs) {
+		lists = append(lists, runs[begin:])
+	}
+	return lists
+}
+
 // sendToAll sends a packet to all other VMs, also to those that this VM has not heard of
 // yet: it may have just started.
 func (c *control) sendToAll(p packet) {
@@ -216,7 +237,7 @@
 
 // replyCrashes sends all crashes under requests that this VM knows of.
 func (c *control) replyCrashes(now time.Time, to netip.AddrPort) {
-	for part := range slices.Chunk(c.knownCrashes(now), packetRuns) {
+	for _, part := range splitRuns(c.knownCrashes(now)) {
 		c.transport.send(to, packet{CrashReport: &crashReport{Runs: part}})
 	}
 }
@@ -243,7 +264,7 @@
 	var changed []suspectCause
 	for _, r := range runs {
 		for _, cause := range r.Causes {
-			if !c.poison.tracker.Record(now, cause.Print, r.at(now, cause)) {
+			if c.poison.isProved(now, cause.Kind, cause.Print) || !c.poison.tracker.Record(now, cause.Print, r.at(now, cause)) {
 				continue
 			}
 			changed = append(changed, cause)
@@ -289,9 +310,33 @@
 // applyClear forgets the crashes under causes with which a request ran to its end at
 // another VM.
 func (c *control) applyClear(from netip.AddrPort, n *clearNotice) {
+	var counted []crash.Fingerprint
 	for _, f := range n.Causes {
-		c.clear(f, zap.String("request", n.Request), zap.Stringer("from", from))
+		if c.clear(f, zap.String("request", n.Request), zap.Stringer("from", from)) {
+			counted = append(counted, f)
+		}
+	}
+	if n.Reply && len(counted) > 0 {
+		c.sendToAll(packet{ClearNotice: &clearNotice{Causes: counted}})
+	}
+}
+
+// handleBlockNotice records the crashes for which another VM blocks causes, and objects if
+// one of them is proved to be none.
+func (c *control) handleBlockNotice(now time.Time, from netip.AddrPort, runs []crashRun) {
+	var proved []crash.Fingerprint
+	for _, r := range runs {
+		for _, cause := range r.Causes {
+			if c.poison.isProved(now, cause.Kind, cause.Print) && !slices.Contains(proved, cause.Print) {
+				proved = append(proved, cause.Print)
+			}
+		}
+	}
+	if len(proved) > 0 {
+		c.logger.Info("crash: a part that a VM blocks was in a whole answer", zap.Stringer("from", from), zap.Strings("prints", crash.Texts(proved)))
+		c.transport.send(from, packet{ClearNotice: &clearNotice{Causes: proved, Reply: true}})
 	}
+	c.recordCrashes(now, runs)
 }
 
 // clear forgets the crashes under a cause. It reports whether there were any, and logs
--- a/internal/relay/crash_tracker.go
+++ b/internal/relay/crash_tracker.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"strings"
 	"time"
@@ -72,18 +73,41 @@
 // credentialHeaders are the headers that tell an upstream who the caller is.
 var credentialHeaders = []string{"Authorization", "Cookie"}
 
+// maxParts bounds the parts of a prompt that are held to be causes.
+const maxParts = 64
+
 // causes returns what may make the request crash upstreams: the request, which its caller
-// may repeat, and its content, which others may send too or which the caller may send from
-// another address.
+// may repeat, its content, which others may send too or which the caller may send from
+// another address, and the parts of its prompt that other requests may have too.
 func (x *exchange) causes() []crash.Cause {
-	if x.suspects == nil {
-		content := x.contentHash()
-		repeat := xxhash.Sum64String(fmt.Sprintf("%x\x00%s", content, x.caller()))
-		x.suspects = []crash.Cause{{Kind: crash.Repeat, Print: crash.Fingerprint(repeat)}, {Kind: crash.Content, Print: crash.Fingerprint(content)}}
+	if x.suspects != nil {
+		return x.suspects
+	}
+	content := x.contentHash()
+	repeat := xxhash.Sum64String(fmt.Sprintf("%x\x00%s", content, x.caller()))
+	x.suspects = []crash.Cause{{Kind: crash.Repeat, Print: crash.Fingerprint(repeat)}, {Kind: crash.Content, Print: crash.Fingerprint(content)}}
+	if x.service.Engine == nil {
+		return x.suspects
+	}
+	parts := x.call.SharedParts()
+	for _, p := range parts[:min(len(parts), maxParts)] {
+		x.suspects = append(x.suspects, crash.Cause{Kind: crash.Part, Print: crash.Fingerprint(xxhash.Sum64String("part " + p.String()))})
 	}
 	return x.suspects
 }
 
+// cleared returns the causes that a complete answer with a status clears: no parts, unless
+// an engine has generated on them.
+func (x *exchange) cleared(status int) []crash.Cause {
+	if status == http.StatusOK {
+		return x.causes()
+	}
+	return x.causes()[:partsFrom]
+}
+
+// partsFrom is the index of the first part in exchange.causes.
+const partsFrom = 2
+
 // print returns the fingerprint of the request and its caller, for logs.
 func (x *exchange) print() crash.Fingerprint { return x.causes()[0].Print }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -414,7 +414,7 @@
 func (x *exchange) recordAnswer(upstream string, status int) {
 	if status < http.StatusInternalServerError { // otherwise it may have failed before it ran
 		x.config.CrashTracker.ReportCompleted(time.Now(), CompletedRun{
-			Request: x.call.ID, Causes: x.causes(), Caller: x.caller(), Upstream: upstream, Status: status,
+			Request: x.call.ID, Causes: x.cleared(status), Caller: x.caller(), Upstream: upstream, Status: status,
 		})
 	}
 	x.config.Metrics.Answered(x.route.Kind.String())
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -35,6 +35,8 @@
 	Content Kind = iota
 	// Repeat is the content of requests and their caller: a request and its repeats.
 	Repeat
+	// Part is a part of prompts, whatever else the requests hold.
+	Part
 )
 
 // String returns the name of the kind, as it stands in logs.
@@ -44,6 +46,8 @@
 		return "content"
 	case Repeat:
 		return "request"
+	case Part:
+		return "part"
 	default:
 		return "unknown"
 	}
