fix(crash): of the crashes of a part only those count that nothing explains

Cause: one crash that no blocked request explains made all crashes of a cause count, which is right for a content that its caller sends from several addresses. A part is in requests of many callers. Now only its unexplained crashes count, and a blocked content explains them too. TestTrackerCountsCrashesOfAPartThatNothingExplains.

--- a/pkg/crash/tracker.go
+++ b/pkg/crash/tracker.go
@@ -25,19 +25,20 @@
 const maxRuns = 10
 
 // Tracker counts, for each cause, the crashes of upstreams that ran a request with it. A
-// request that is blocked explains its crashes: a cause that has no others merely ran beside
-// it, or is part of it, and is not blocked. A Tracker has no state but the runs that were
+// request that is blocked explains its crashes: a content that has no others merely ran
+// beside it, or is the same, and is not blocked. For parts of prompts, which many requests
+// share, only those crashes count that no blocked request or content explains. A Tracker has no state but the runs that were
 // recorded, so all trackers with the same runs block the same requests. Its methods must
 // not be called concurrently.
 type Tracker struct {
-	config  TrackerConfig
-	runs    map[Fingerprint][]Run // sorted by Ended
-	blocked map[Fingerprint]bool  // causes of kind Repeat that have enough crashes to be blocked
+	config TrackerConfig
+	runs   map[Fingerprint][]Run // sorted by Ended
+	guilty map[Fingerprint]Kind  // requests and contents that have enough crashes to be blocked
 }
 
 // NewTracker returns an empty tracker.
 func NewTracker(c TrackerConfig) *Tracker {
-	return &Tracker{config: c, runs: map[Fingerprint][]Run{}, blocked: map[Fingerprint]bool{}}
+	return &Tracker{config: c, runs: map[Fingerprint][]Run{}, guilty: map[Fingerprint]Kind{}}
 }
 
 // Record records a crash of an upstream under a cause. It returns false if the
@@ -60,8 +61,8 @@
 	slices.SortFunc(runs, func(a, b Run) int { return a.Ended.Compare(b.Ended) })
 	runs = runs[max(len(runs)-maxRuns, 0):]
 	t.runs[f] = runs
-	if r.Kind == Repeat && len(runs) >= t.limit(runs) {
-		t.blocked[f] = true
+	if r.Kind != Part && len(runs) >= t.limit(runs) {
+		t.guilty[f] = r.Kind
 	}
 	return true
 }
@@ -70,25 +71,32 @@
 // run to its end.
 func (t *Tracker) Clear(f Fingerprint) {
 	delete(t.runs, f)
-	delete(t.blocked, f)
+	delete(t.guilty, f)
 }
 
 // Runs returns the runs of a cause during which an upstream crashed, one for each crash.
 func (t *Tracker) Runs(f Fingerprint) []Run { return t.runs[f] }
 
-// Counted returns the runs of a cause that count for it: none if blocked requests explain
-// them all.
+// Counted returns the runs of a cause that count for it.
 func (t *Tracker) Counted(f Fingerprint) []Run {
 	runs := t.runs[f]
-	if len(t.blocked) == 0 || len(runs) == 0 || runs[0].Kind == Repeat || slices.ContainsFunc(runs, func(r Run) bool { return !t.explained(r) }) {
+	if len(t.guilty) == 0 || len(runs) == 0 || runs[0].Kind == Repeat {
 		return runs
 	}
-	return nil
+	left := slices.DeleteFunc(slices.Clone(runs), t.explained)
+	if runs[0].Kind == Content && len(left) > 0 { // more than something that ran beside the request
+		return runs
+	}
+	return left
 }
 
-// explained reports whether a blocked request ran at the upstream when it crashed.
+// explained reports whether a blocked request ran at the upstream when it crashed or, for a
+// part, a blocked content.
 func (t *Tracker) explained(r Run) bool {
-	for f := range t.blocked {
+	for f, kind := range t.guilty {
+		if kind == Content && (r.Kind == Content || len(t.Counted(f)) == 0) {
+			continue
+		}
 		if slices.ContainsFunc(t.runs[f], func(b Run) bool { return b.sameCrash(r, t.config.Restart) }) {
 			return true
 		}
@@ -96,6 +104,11 @@
 	return false
 }
 
+// Covers reports whether all crashes under one cause were crashes under another too.
+func (t *Tracker) Covers(other, f Fingerprint) bool {
+	return len(t.Unknown(f, t.runs[other])) == 0
+}
+
 // Unknown returns the runs of a cause that saw other crashes than the given runs.
 func (t *Tracker) Unknown(f Fingerprint, given []Run) []Run {
 	return slices.DeleteFunc(slices.Clone(t.runs[f]), func(r Run) bool {
--- a/pkg/crash/tracker_test.go
+++ b/pkg/crash/tracker_test.go
@@ -158,3 +158,32 @@
 	tracker.Clear(request)
 	is.True(!tracker.BlockedUntil(other).IsZero()) // its crashes have no other explanation any more
 }
+
+// Guards against the block of a part that many requests share and that was therefore in
+// crashes under several causes (soak seed 3000).
+func TestTrackerCountsCrashesOfAPartThatNothingExplains(t *testing.T) {
+	is := is.New(t)
+	const request, content, part = 7, 8, 9
+	tracker := crash.NewTracker(config)
+	id := uint64(0)
+	record := func(f crash.Fingerprint, kind crash.Kind, upstream string, second float64) {
+		id++
+		r := run(id, upstream, second, second+1)
+		r.Kind = kind
+		is.True(tracker.Record(r.Ended, f, r))
+	}
+	for i, upstream := range []string{"e1", "e2", "e3"} {
+		record(request, crash.Repeat, upstream, float64(2*i))
+		record(part, crash.Part, upstream, float64(2*i))
+	}
+	for i, upstream := range []string{"e4", "e5", "e6"} {
+		record(content, crash.Content, upstream, float64(10+2*i))
+		record(part, crash.Part, upstream, float64(10+2*i))
+	}
+	for i, upstream := range []string{"e7", "e8", "e9"} {
+		is.Equal(len(tracker.Counted(part)), i)
+		is.True(tracker.BlockedUntil(part).IsZero())
+		record(part, crash.Part, upstream, float64(20+2*i))
+	}
+	is.True(!tracker.BlockedUntil(part).IsZero())
+}
