fix(edge): a VM without whole answers does not block a part that most requests share

Cause: all engines had crashed before any whole answer proved the part that all requests share, so it was blocked for a minute, and nothing could clear it.

--- a/internal/edge/bench_test.go
+++ b/internal/edge/bench_test.go
@@ -119,7 +119,7 @@
 			})
 			b.Run("clear", func(b *testing.B) {
 				for b.Loop() {
-					c.clear(crash.Fingerprint(1))
+					c.clear(start, crash.Fingerprint(1))
 				}
 			})
 		})
--- a/internal/edge/crash_records.go
+++ b/internal/edge/crash_records.go
@@ -53,7 +53,7 @@
 	}
 	if value == nil {
 		delete(c.poison.saved, f)
-		c.clear(f, zap.String("learned", "store"))
+		c.clear(now, f, zap.String("learned", "store"))
 		return
 	}
 	var record crashRecord
--- a/internal/edge/crash_records_test.go
+++ b/internal/edge/crash_records_test.go
@@ -101,7 +101,7 @@
 	vm.crash(t, now, "e1")
 	vm.crash(t, now.Add(time.Second), "e2")
 	is.True(vm.save(t, now.Add(time.Second)))
-	vm.noteCompleted(completed(7))
+	vm.noteCompleted(start, completed(7))
 	is.True(vm.save(t, now.Add(5*time.Second)))
 	is.True(!vm.save(t, now.Add(10*time.Second)))
 	is.Equal(len(vm.restart(t, now).poison.tracker.Runs(7)), 0)
--- a/internal/edge/crash_tracker.go
+++ b/internal/edge/crash_tracker.go
@@ -15,6 +15,7 @@
 
 // Admit implements relay.CrashTracker.
 func (t crashTracker) Admit(now time.Time, causes []crash.Cause) relay.Block {
+	t.control.poison.arrivals.add(now, causes)
 	if b := t.Blocked(now, causes); b.Remaining > 0 {
 		return b
 	}
@@ -23,7 +24,7 @@
 		if watched[c.Print].IsZero() { // too few crashes
 			continue
 		}
-		if remaining := t.control.poison.trials.begin(now, c.Print); remaining > 0 {
+		if remaining := t.control.poison.trials.begin(now, c); remaining > 0 {
 			return relay.Block{Remaining: remaining, Cause: c}
 		}
 	}
@@ -62,24 +63,24 @@
 // trials holds the runs of requests with causes that were blocked until a moment ago. A run
 // that ends well lifts the suspicion; another crash blocks the cause again.
 type trials struct {
-	mu    sync.Mutex
-	begun map[crash.Fingerprint]time.Time
+	mu   sync.Mutex
+	ends map[crash.Fingerprint]time.Time // when a trial of each cause is over
 }
 
 // begin returns 0 if a cause may be tried, and otherwise the time left until its last
 // trial is over.
-func (t *trials) begin(now time.Time, f crash.Fingerprint) time.Duration {
+func (t *trials) begin(now time.Time, c crash.Cause) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for old, begun := range t.begun {
-		if now.Sub(begun) >= trialTime {
-			delete(t.begun, old)
+	for old, end := range t.ends {
+		if !now.Before(end) {
+			delete(t.ends, old)
 		}
 	}
-	if begun, ok := t.begun[f]; ok {
-		return begun.Add(trialTime).Sub(now)
+	if end, ok := t.ends[c.Print]; ok {
+		return end.Sub(now)
 	}
-	t.begun[f] = now
+	t.ends[c.Print] = now.Add(trialTime)
 	return 0
 }
 
@@ -127,6 +128,14 @@
 	return current || before
 }
 
+// empty reports whether no request ran to its end shortly before now.
+func (c *completions) empty(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expire(now)
+	return len(c.now)+len(c.before) == 0
+}
+
 func (c *completions) expire(now time.Time) {
 	elapsed := now.Sub(c.begun)
 	if elapsed < completionTime && c.now != nil {
@@ -139,6 +148,44 @@
 	c.begun = now
 }
 
+// arrivals counts requests by part of their prompts, for the last completionTime and the
+// one before.
+type arrivals struct {
+	mu          sync.Mutex
+	begun       time.Time                 // begin of the current time
+	now, before map[crash.Fingerprint]int // requests with each part
+	all, old    int                       // requests with any part, in the current time and in the one before
+}
+
+// add counts a request that has arrived.
+func (a *arrivals) add(now time.Time, causes []crash.Cause) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.now == nil || now.Sub(a.begun) >= completionTime {
+		a.before, a.old = a.now, a.all
+		a.now, a.all, a.begun = map[crash.Fingerprint]int{}, 0, now
+	}
+	if causes[len(causes)-1].Kind != crash.Part {
+		return
+	}
+	a.all++
+	for _, c := range causes {
+		if _, known := a.now[c.Print]; c.Kind == crash.Part && (known || len(a.now) < maxCompletions) {
+			a.now[c.Print]++
+		}
+	}
+}
+
+// share returns the share of the requests with prompts that have a part, from 0 to 1.
+func (a *arrivals) share(part crash.Fingerprint) float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.all+a.old == 0 {
+		return 0
+	}
+	return float64(a.now[part]+a.before[part]) / float64(a.all+a.old)
+}
+
 // ReportCompleted implements relay.CrashTracker.
 func (t crashTracker) ReportCompleted(now time.Time, r relay.CompletedRun) {
 	t.control.poison.noteWhole(now, r.Causes)
--- a/internal/edge/eras_test.go
+++ b/internal/edge/eras_test.go
@@ -363,7 +363,7 @@
 	copied := time.Now()
 	time.Sleep(time.Millisecond)
 	a.poison.complete.add(now, causes(7))
-	a.noteCompleted(completed(7))
+	a.noteCompleted(start, completed(7))
 	is.True(a.save(t, now.Add(5*time.Second)))
 	store.Restore(copied)
 	now = now.Add(6 * time.Second)
--- a/internal/edge/parts_test.go
+++ b/internal/edge/parts_test.go
@@ -80,6 +80,25 @@
 	}
 }
 
+// Guards against the block of what all requests of a route share, by VMs that have just
+// started and have seen no whole answer yet (soak seed 2316).
+func TestCommonPartIsNotBlockedByAColdVM(t *testing.T) {
+	is := is.New(t)
+	vm := loneVM()
+	tracker := crashTracker{vm}
+	at := start
+	for i := range 3 {
+		at = at.Add(100 * time.Millisecond)
+		for n := range 5 {
+			is.Equal(tracker.Admit(at, prompt(100*i+n, sharedPart)), relay.Block{})
+		}
+		is.Equal(tracker.Admit(at, prompt(10+i, sharedPart, poisonPart)), relay.Block{})
+		vm.crashUnder(t, at, fmt.Sprint("e", i), prompt(10+i, sharedPart, poisonPart))
+	}
+	is.Equal(tracker.Admit(at, prompt(50, sharedPart)), relay.Block{})
+	is.True(tracker.Admit(at, prompt(51, sharedPart, poisonPart)).Remaining > 0)
+}
+
 // A VM that starts knows of the crashes under a part.
 func TestCountOfAPartOutlivesTheVMs(t *testing.T) {
 	is := is.New(t)
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -25,6 +25,12 @@
 	// ends well can show it.
 	blockTime    = time.Minute
 	maxBlockTime = 3 * 24 * time.Hour
+	// commonShare is the share of the requests from which on a part of prompts is not blocked
+	// by a VM that has seen no whole answer: it cannot tell a part that all requests of a
+	// route share from one that crashes upstreams.
+	commonShare = 0.25
+	// reviewTime is the time after which a VM looks again at the parts that it blocks.
+	reviewTime = 500 * time.Millisecond
 	// crashTTL is how long the crashes under a cause are remembered after the last one
 	// and after the end of its block.
 	crashTTL = 30 * time.Minute
@@ -165,11 +171,14 @@
 	trials   trials
 	complete completions // requests
 	whole    completions // parts of prompts
+	arrivals arrivals    // of requests, by part of their prompts
 	reviewAt time.Time   // time of the next check of what is to be saved
 	// watched has the causes under which upstreams have crashed or may have, and the
 	// ends of the times for which they are blocked. The request path reads it.
-	watched atomic.Pointer[map[crash.Fingerprint]time.Time]
-	stale   bool // watched lags behind tracker and pending
+	watched     atomic.Pointer[map[crash.Fingerprint]time.Time]
+	stale       bool      // watched lags behind tracker and pending
+	parts       bool      // watched has parts that are blocked, which further requests may change
+	publishedAt time.Time // when watched was published
 }
 
 func newPoison() *poison {
@@ -178,7 +187,7 @@
 			Crashes: blockThreshold, Harmless: harmlessThreshold, Block: blockTime, MaxBlock: maxBlockTime, TTL: crashTTL, Restart: restartTime, MaxCauses: maxCauses,
 		}),
 		pending: map[string][]suspect{}, outages: map[string]*outage{}, crashed: map[string]time.Time{}, probing: map[string]bool{}, saved: map[crash.Fingerprint][]crash.Run{}, unsaved: map[crash.Fingerprint]time.Time{}, asked: map[string]bool{},
-		trials: trials{begun: map[crash.Fingerprint]time.Time{}},
+		trials: trials{ends: map[crash.Fingerprint]time.Time{}},
 	}
 	p.watched.Store(&map[crash.Fingerprint]time.Time{})
 	return p
@@ -187,15 +196,24 @@
 // publishPoison makes the state of causes that are watched visible to the request
 // path. When the time of a block is over, the VMs try the cause one after the other in
 // rendezvous order, so that it does not crash an upstream of each.
-func (c *control) publishPoison() {
+func (c *control) publishPoison(now time.Time) {
 	p := c.poison
 	watched := p.tracker.Blocked()
 	names, _ := c.liveVMs()
+	cold := p.whole.empty(now)
+	p.parts = false
 	for f, until := range watched {
-		if !until.IsZero() {
-			turn := slices.Index(rank.Order(f.String(), names), c.self.Name)
-			watched[f] = until.Add(time.Duration(min(turn, maxTurn)) * trialTime)
+		if until.IsZero() {
+			continue
 		}
+		isPart := p.tracker.Runs(f)[0].Kind == crash.Part
+		p.parts = p.parts || isPart
+		if isPart && cold && p.arrivals.share(f) >= commonShare {
+			watched[f] = time.Time{}
+			continue
+		}
+		turn := slices.Index(rank.Order(f.String(), names), c.self.Name)
+		watched[f] = until.Add(time.Duration(min(turn, maxTurn)) * trialTime)
 	}
 	for _, list := range p.pending {
 		for _, s := range list {
@@ -207,7 +225,7 @@
 		}
 	}
 	p.watched.Store(&watched)
-	p.stale = false
+	p.stale, p.publishedAt = false, now
 }
 
 // forget forgets that upstreams crashed under a cause, or may have. It reports whether
@@ -241,7 +259,7 @@
 			delete(p.crashed, upstream)
 		}
 	}
-	if len(p.tracker.Expire(now)) > 0 || p.stale {
-		c.publishPoison()
+	if len(p.tracker.Expire(now)) > 0 || p.stale || (p.parts && now.Sub(p.publishedAt) >= reviewTime) {
+		c.publishPoison(now)
 	}
 }
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -191,7 +191,7 @@
 		at := start.Add(time.Duration(i) * time.Second)
 		c.noteBroken(t.Context(), at, brokenRun(7, "e1", at))
 		c.noteCrash(at, "e1", at, learnedByDial)
-		c.noteCompleted(completed(7))
+		c.noteCompleted(start, completed(7))
 		is.Equal(c.remaining(at, 7), time.Duration(0))
 	}
 }
@@ -206,7 +206,7 @@
 	c.expirePoison(start)
 	_, watched := (*c.poison.watched.Load())[7]
 	is.True(watched) // the request path reports its complete runs
-	c.noteCompleted(completed(7))
+	c.noteCompleted(start, completed(7))
 	for _, id := range []string{"e1", "e2", "e3"} {
 		c.noteCrash(start.Add(3*time.Second), id, start.Add(3*time.Second), learnedFromMissingEntry)
 	}
@@ -230,7 +230,7 @@
 	is.Equal(tracker.Admit(over, causes(7)).Remaining, trialTime)
 	is.Equal(tracker.Blocked(over, causes(7)).Remaining, time.Duration(0)) // the trial itself may be sent
 	is.Equal(tracker.Admit(over.Add(trialTime), causes(7)).Remaining, time.Duration(0))
-	c.noteCompleted(completed(7))
+	c.noteCompleted(start, completed(7))
 	for range 3 {
 		is.Equal(tracker.Admit(over.Add(trialTime), causes(7)).Remaining, time.Duration(0))
 	}
@@ -335,7 +335,7 @@
 		is.Equal(crashTracker{vm}.Admit(at, request).Remaining, time.Duration(0))
 		vm.noteBroken(t.Context(), at, requestBroken{relay.BrokenRun{Causes: request, Upstream: roster.Upstream{ID: id}, Sent: at}})
 		vm.noteCrash(at, id, at, learnedByDial)
-		vm.noteCompleted(requestCompleted{relay.CompletedRun{Causes: another, Status: http.StatusOK}})
+		vm.noteCompleted(start, requestCompleted{relay.CompletedRun{Causes: another, Status: http.StatusOK}})
 	}
 	is.True(crashTracker{vm}.Admit(at, request).Remaining > 0)
 	is.Equal(crashTracker{vm}.Admit(at, another).Remaining, time.Duration(0))
--- a/internal/edge/scheduling.go
+++ b/internal/edge/scheduling.go
@@ -32,7 +32,7 @@
 	case p.BlockNotice != nil:
 		c.handleBlockNotice(now, r.from, p.BlockNotice.Runs)
 	case p.ClearNotice != nil:
-		c.applyClear(r.from, p.ClearNotice)
+		c.applyClear(now, r.from, p.ClearNotice)
 	case p.PaceRequest != nil:
 		c.handlePaceRequest(now, r.from, p.PaceRequest)
 	case p.PaceReply != nil:
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -51,7 +51,7 @@
 	case crashesSaved:
 		c.noteSaved(now, e)
 	case requestCompleted:
-		c.noteCompleted(e)
+		c.noteCompleted(now, e)
 	default:
 		return false
 	}
@@ -288,17 +288,17 @@
 		}
 	}
 	if len(blocked) > 0 {
-		c.publishPoison()
+		c.publishPoison(now)
 	}
 	return blocked
 }
 
 // noteCompleted handles the complete run of a request under whose causes upstreams have
 // crashed before, or may have: they are not to blame.
-func (c *control) noteCompleted(e requestCompleted) {
+func (c *control) noteCompleted(now time.Time, e requestCompleted) {
 	notice := &clearNotice{Request: e.Request}
 	for _, cause := range e.Causes {
-		if c.clear(cause.Print, zap.String("request", e.Request), zap.Stringer("caller", e.Caller), zap.String("upstream", e.Upstream), zap.Int("status", e.Status)) {
+		if c.clear(now, cause.Print, zap.String("request", e.Request), zap.Stringer("caller", e.Caller), zap.String("upstream", e.Upstream), zap.Int("status", e.Status)) {
 			notice.Causes = append(notice.Causes, cause.Print)
 		}
 	}
@@ -309,10 +309,10 @@
 
 // applyClear forgets the crashes under causes with which a request ran to its end at
 // another VM.
-func (c *control) applyClear(from netip.AddrPort, n *clearNotice) {
+func (c *control) applyClear(now time.Time, from netip.AddrPort, n *clearNotice) {
 	var counted []crash.Fingerprint
 	for _, f := range n.Causes {
-		if c.clear(f, zap.String("request", n.Request), zap.Stringer("from", from)) {
+		if c.clear(now, f, zap.String("request", n.Request), zap.Stringer("from", from)) {
 			counted = append(counted, f)
 		}
 	}
@@ -341,11 +341,11 @@
 
 // clear forgets the crashes under a cause. It reports whether there were any, and logs
 // them with the fields, which tell why.
-func (c *control) clear(f crash.Fingerprint, why ...zap.Field) bool {
+func (c *control) clear(now time.Time, f crash.Fingerprint, why ...zap.Field) bool {
 	crashes := len(c.poison.tracker.Runs(f))
 	counted, blocked := c.poison.forget(f)
 	if blocked {
-		c.publishPoison()
+		c.publishPoison(now)
 	}
 	if !counted {
 		return false
