fix(relay,edge): an answer that ends with its connection proves nothing by itself

Seen in a test: three upstreams that crash between two events of answers with neither a length nor chunks, and the part of their prompts proved sound.

Cause: the end of the connection is the end of such an answer, and what a crash looks like.

Now the upstream is checked before the answer clears anything, as after a broken request; if it accepts no connections, the request counts as one that broke off. TestAnswerWithoutAnEndIsNoProof failed before.

--- a/internal/edge/crash_tracker.go
+++ b/internal/edge/crash_tracker.go
@@ -188,9 +188,17 @@
 
 // ReportCompleted implements relay.CrashTracker.
 func (t crashTracker) ReportCompleted(now time.Time, r relay.CompletedRun) {
-	t.control.poison.noteWhole(now, r.Causes)
-	watched := *t.control.poison.watched.Load()
-	if slices.ContainsFunc(r.Causes, func(c crash.Cause) bool { _, ok := watched[c.Print]; return ok }) {
+	p := t.control.poison
+	watched := *p.watched.Load()
+	suspected := slices.ContainsFunc(r.Causes, func(c crash.Cause) bool { _, ok := watched[c.Print]; return ok })
+	if !r.Framed {
+		if suspected || slices.ContainsFunc(r.Causes, func(c crash.Cause) bool { return c.Kind == crash.Part && !p.isProved(now, c.Kind, c.Print) }) {
+			t.control.post(connectionEnded{r})
+		}
+		return
+	}
+	p.noteWhole(now, r.Causes)
+	if suspected {
 		t.control.post(requestCompleted{r})
 	}
 }
--- a/internal/edge/parts_test.go
+++ b/internal/edge/parts_test.go
@@ -1,8 +1,11 @@
 package edge
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -39,7 +42,7 @@
 }
 
 func (c *control) complete(at time.Time, causes []crash.Cause) {
-	crashTracker{c}.ReportCompleted(at, relay.CompletedRun{Causes: causes, Status: http.StatusOK})
+	crashTracker{c}.ReportCompleted(at, relay.CompletedRun{Causes: causes, Status: http.StatusOK, Framed: true})
 }
 
 // Guards against a part of prompts that crashes one upstream after the other in requests
@@ -149,3 +152,34 @@
 	}
 	is.Equal(len(splitRuns(nil)), 0)
 }
+
+// Guards against the end of a connection that is taken for the end of an answer: that is
+// what callers get if the upstream crashes between two events.
+func TestAnswerWithoutAnEndIsNoProof(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		refused error
+		blocked bool
+	}{
+		{"upstreams crash", errors.New("connection refused"), true},
+		{"upstreams work", nil, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			vm := loneVM()
+			vm.check = func(context.Context, netip.AddrPort) error { return c.refused }
+			at := start
+			for i := range 3 {
+				at = at.Add(time.Second)
+				crashTracker{vm}.ReportCompleted(at, relay.CompletedRun{
+					Causes: prompt(10+i, poisonPart), Upstream: roster.Upstream{ID: fmt.Sprint("e", i)}, Sent: at, Status: http.StatusOK,
+				})
+				for len(vm.events) > 0 || len(vm.poison.probing) > 0 {
+					vm.handlePoison(t.Context(), at, <-vm.events)
+				}
+			}
+			is.Equal(crashTracker{vm}.Admit(at, prompt(50, poisonPart)).Remaining > 0, c.blocked)
+			is.Equal(vm.poison.isProved(at, crash.Part, poisonPart), !c.blocked)
+		})
+	}
+}
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -85,12 +85,17 @@
 // crashed under it before.
 type requestCompleted struct{ relay.CompletedRun }
 
+// connectionEnded is a complete answer that ended with its connection, so that its upstream
+// may have crashed.
+type connectionEnded struct{ relay.CompletedRun }
+
 // upstreamChecked reports that the check of an upstream has ended, and that it accepts
 // connections if no unreachable event came before.
 type upstreamChecked struct{ upstream string }
 
 func (upstreamChecked) event()  {}
 func (requestBroken) event()    {}
+func (connectionEnded) event()  {}
 func (unreachable) event()      {}
 func (requestCompleted) event() {}
 
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -40,7 +40,7 @@
 }
 
 func completed(f crash.Fingerprint) requestCompleted {
-	return requestCompleted{relay.CompletedRun{Causes: causes(f), Status: http.StatusOK}}
+	return requestCompleted{relay.CompletedRun{Causes: causes(f), Status: http.StatusOK, Framed: true}}
 }
 
 // remaining returns for how long the request path refuses a request.
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/tanagerlb/tanagerlb/internal/relay"
 	"github.com/tanagerlb/tanagerlb/pkg/crash"
 	"github.com/tanagerlb/tanagerlb/pkg/gossip"
 	"github.com/tanagerlb/tanagerlb/pkg/rank"
@@ -44,6 +45,8 @@
 	switch e := e.(type) {
 	case requestBroken:
 		c.noteBroken(ctx, now, e)
+	case connectionEnded:
+		c.checkEnded(ctx, e)
 	case upstreamChecked:
 		delete(c.poison.probing, e.upstream)
 	case unreachable:
@@ -51,6 +54,7 @@
 	case crashesSaved:
 		c.noteSaved(now, e)
 	case requestCompleted:
+		c.poison.noteWhole(now, e.Causes)
 		c.noteCompleted(now, e)
 	default:
 		return false
@@ -73,6 +77,40 @@
 	p.post(upstreamChecked{upstream: p.upstream.ID})
 }
 
+// endProbe checks whether the upstream of an answer that ended with its connection still
+// accepts connections. If it does not, the request counts as one that broke off.
+type endProbe struct {
+	check func(context.Context, netip.AddrPort) error
+	post  func(event)
+	ended relay.CompletedRun
+}
+
+func (p *endProbe) run(ctx context.Context) {
+	time.Sleep(probeDelay)
+	err := p.check(ctx, p.ended.Upstream.Address)
+	switch {
+	case ctx.Err() != nil:
+	case err != nil:
+		p.post(requestBroken{relay.BrokenRun{
+			Request: p.ended.Request, Causes: p.ended.Causes, Caller: p.ended.Caller, Upstream: p.ended.Upstream, Sent: p.ended.Sent, Heard: p.ended.Sent,
+		}})
+		p.post(unreachable{upstream: p.ended.Upstream.ID})
+	default:
+		p.post(requestCompleted{p.ended})
+	}
+	p.post(upstreamChecked{upstream: p.ended.Upstream.ID})
+}
+
+// checkEnded checks the upstream of an answer that ended with its connection, unless it is
+// being checked: another answer will tell.
+func (c *control) checkEnded(ctx context.Context, e connectionEnded) {
+	if c.poison.probing[e.Upstream.ID] {
+		return
+	}
+	c.poison.probing[e.Upstream.ID] = true
+	go (&endProbe{check: c.check, post: c.post, ended: e.CompletedRun}).run(ctx)
+}
+
 // noteBroken stores a request that broke off, in case its upstream turns out to have
 // crashed. The upstream is checked at once: this VM may have no other request for it,
 // and the store drops its entry only after seconds.
@@ -298,7 +336,7 @@
 func (c *control) noteCompleted(now time.Time, e requestCompleted) {
 	notice := &clearNotice{Request: e.Request}
 	for _, cause := range e.Causes {
-		if c.clear(now, cause.Print, zap.String("request", e.Request), zap.Stringer("caller", e.Caller), zap.String("upstream", e.Upstream), zap.Int("status", e.Status)) {
+		if c.clear(now, cause.Print, zap.String("request", e.Request), zap.Stringer("caller", e.Caller), zap.String("upstream", e.Upstream.ID), zap.Int("status", e.Status)) {
 			notice.Causes = append(notice.Causes, cause.Print)
 		}
 	}
--- a/internal/relay/crash_tracker.go
+++ b/internal/relay/crash_tracker.go
@@ -47,8 +47,10 @@
 	Request  string // id of the request
 	Causes   []crash.Cause
 	Caller   netip.Addr // address that the request came from
-	Upstream string     // id of the upstream
-	Status   int        // HTTP status of the answer
+	Upstream roster.Upstream
+	Sent     time.Time // when the request was sent to the upstream
+	Status   int       // HTTP status of the answer
+	Framed   bool      // the answer had a length or came in chunks; otherwise it ended with its connection, as one does whose upstream crashes
 }
 
 // BrokenRun is a run of a request that ended without a complete answer.
--- a/internal/relay/lifesigns.go
+++ b/internal/relay/lifesigns.go
@@ -36,7 +36,8 @@
 
 // beginRun is called when the request is sent to an upstream.
 func (x *exchange) beginRun(now time.Time, u roster.Upstream) *sentRun {
-	return &sentRun{upstream: u, sent: now, heard: now, sign: x.lifeSigns.of(now, u.ID)}
+	x.run = &sentRun{upstream: u, sent: now, heard: now, sign: x.lifeSigns.of(now, u.ID)}
+	return x.run
 }
 
 // note records that something arrived for the run.
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -192,7 +192,7 @@
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
 		x.w.WriteHeader(r.status)
 		_, _ = x.w.Write(r.body) // fails only if the caller disconnected
-		x.recordAnswer(upstream, r.status)
+		x.recordAnswer(upstream, r.response)
 	case r.notRun:
 		x.refuse(r.reason, retryAfter)
 	case x.ctxDone():
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -167,6 +167,7 @@
 	ctx         context.Context //nolint:containedctx // has the lifetime of the request
 	view        *View           // at the arrival of the request; its configuration applies until the end
 	sends       int             // number of times that the request was sent to an upstream
+	run         *sentRun        // last run
 	mayHaveRun  bool            // an upstream may have run the request
 	headersSent bool            // status and headers were written to the caller
 	lastID      string          // id of the last event written to the caller
@@ -411,16 +412,17 @@
 }
 
 // recordAnswer reports, counts and logs a complete answer of an upstream.
-func (x *exchange) recordAnswer(upstream string, status int) {
-	if status < http.StatusInternalServerError { // otherwise it may have failed before it ran
+func (x *exchange) recordAnswer(upstream string, response *http.Response) {
+	if response.StatusCode < http.StatusInternalServerError { // otherwise it may have failed before it ran
 		x.config.CrashTracker.ReportCompleted(time.Now(), CompletedRun{
-			Request: x.call.ID, Causes: x.cleared(status), Caller: x.caller(), Upstream: upstream, Status: status,
+			Request: x.call.ID, Causes: x.cleared(response.StatusCode), Caller: x.caller(), Upstream: x.run.upstream, Sent: x.run.sent,
+			Status: response.StatusCode, Framed: response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
 		})
 	}
 	x.config.Metrics.Answered(x.route.Kind.String())
 	x.config.Metrics.Latency(x.route.Kind.String(), time.Since(x.started))
 	x.config.Logger.Info("relay: answered", zap.String("request", x.call.ID), zap.String("upstream", upstream),
-		zap.Int("status", status), zap.Duration("after", time.Since(x.started)), zap.Int("sends", x.sends),
+		zap.Int("status", response.StatusCode), zap.Duration("after", time.Since(x.started)), zap.Int("sends", x.sends),
 		zap.String("route", x.route.Name), zap.Int64("version", x.view.Table.Version))
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -272,7 +272,7 @@
 	if disconnected {
 		x.abandon("caller left")
 	}
-	x.recordAnswer(slot.Upstream.ID, response.StatusCode)
+	x.recordAnswer(slot.Upstream.ID, response)
 	return false
 }
 
@@ -293,7 +293,7 @@
 		x.fail(e.Response.StatusCode, "engine failed to resume")
 		return false
 	}
-	x.recordAnswer(slot.Upstream.ID, e.Response.StatusCode)
+	x.recordAnswer(slot.Upstream.ID, e.Response)
 	x.headersSent = true
 	x.copyHeaders(e.Response)
 	x.w.WriteHeader(e.Response.StatusCode)
