feat(relay): an upstream that rejects a request with Retry-After gets none for that time

Seen: 28 to 33 requests of one VM between half a second after a 503 with Retry-After and the end of that time, 2 allowed, where all replicas ask to wait; 28 with one engine of four (TestReplicaThatAsksToWaitGetsNoRequests). With one plain replica the ejection covered it.

Cause: nothing read the header.

It is looked at when an upstream is chosen and right before each send. If all upstreams ask to wait, the caller is refused at once with the earliest end.

--- a/internal/relay/pacer.go
+++ b/internal/relay/pacer.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/tanagerlb/tanagerlb/pkg/pace"
 	"github.com/tanagerlb/tanagerlb/platform"
 )
@@ -23,6 +25,10 @@
 	if reply.Leaving {
 		x.config.Leaving(r.upstream)
 	}
+	if reply.RetryAfter > 0 {
+		x.pauses.note(time.Now(), r.upstream, reply.RetryAfter)
+		x.config.Logger.Info("relay: upstream wants no requests", zap.String("request", x.call.ID), zap.String("upstream", r.upstream.ID), zap.Duration("for", reply.RetryAfter))
+	}
 	for _, h := range reply.Malformed {
 		x.config.Metrics.HeaderIgnored(h.Name)
 		x.headerLog.warn(x.config.Logger, time.Now(), r.upstream.ID, h)
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -34,7 +34,7 @@
 	outcome  health.Outcome
 	reason   string
 	notRun   bool // the upstream did not run the request
-	left     bool // the upstream had left, so that the request was not sent
+	another  bool // the upstream takes no requests, so that this one was not sent; another one may
 	status   int
 	response *http.Response // nil unless the answer is complete
 	body     []byte
@@ -58,7 +58,7 @@
 			x.finish(lastUpstream, last)
 			return
 		case wait > 0:
-			x.refuse("upstreams are at their limits", wait)
+			x.refuse(reasonLimits, wait)
 			return
 		default:
 			x.refuse("no upstream", retryAfter)
@@ -87,16 +87,18 @@
 	}
 }
 
-// pickUpstream chooses an upstream that has not been tried and whose limit allows a request,
-// and counts the request as in flight there. It returns false if there is none, and after
-// what time to try again if that is because of limits.
+// pickUpstream chooses an upstream that has not been tried, that wants requests and whose
+// limit allows one, and counts the request as in flight there. It returns false if there is
+// none, and after what time to try again if upstreams have said so.
 func (x *exchange) pickUpstream(tried map[string]bool) (u roster.Upstream, wait time.Duration, ok bool) {
 	upstreams := x.config.View().Upstreams[x.service.Name]
 	candidates := make([]health.Candidate, len(upstreams))
 	for i, u := range upstreams {
 		candidates[i] = health.Candidate{ID: u.ID, Zone: u.Zone}
 	}
+	wait, paused := x.pauses.shortest(time.Now(), upstreams)
 	skip := maps.Clone(tried)
+	maps.Copy(skip, paused)
 	for {
 		x.mu.Lock()
 		id, ok := x.tracker.Pick(time.Now(), x.config.Zone, candidates, skip)
@@ -128,12 +130,12 @@
 		ctx, cancel = context.WithTimeout(ctx, attemptFactor*x.route.Objective)
 		defer cancel()
 	}
-	request := x.outbound(platform.ForwardOptions{Upstream: u.ID, Timeout: time.Until(x.deadline)})
+	request := x.outbound(u, platform.ForwardOptions{Timeout: time.Until(x.deadline)})
 	run := x.beginRun(time.Now(), u)
 	e, err := x.config.Pool.Do(ctx, u.Address, request)
-	if left := errors.Is(err, errLeft); left || errors.Is(err, errStale) {
+	if unsent, another := isUnsent(err); unsent {
 		x.sends--
-		return result{outcome: health.Abandoned, reason: errStale.Error(), notRun: true, left: left}
+		return result{outcome: health.Abandoned, reason: errStale.Error(), notRun: true, another: another}
 	}
 	if err != nil {
 		x.reportUnanswered(run, err)
@@ -173,7 +175,7 @@
 		return false
 	}
 	if r.outcome == health.Abandoned {
-		return r.left
+		return r.another
 	}
 	if r.notRun && r.outcome == health.Failed && x.sends < maxSends {
 		return true // no byte of the request reached the upstream, so the retry budget is not charged
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -116,6 +116,7 @@
 	lifeSigns   lifeSigns
 	longAnswers *semaphore.Weighted
 	headerLog   headerLog
+	pauses      pauses
 }
 
 // New returns a handler that has not yet recorded the results of any upstream.
@@ -134,6 +135,7 @@
 // called once a second.
 func (h *Handler) Decay(now time.Time) {
 	h.lifeSigns.expire(now)
+	h.pauses.expire(now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.tracker.Decay()
@@ -271,34 +273,48 @@
 }
 
 // outbound returns the request to send to an upstream.
-func (x *exchange) outbound(o platform.ForwardOptions) link.Request {
+func (x *exchange) outbound(u roster.Upstream, o platform.ForwardOptions) link.Request {
+	o.Upstream = u.ID
 	return link.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: platform.ForwardHeader(x.r.Header, o), Body: x.body,
-		Confirm: func() error { return x.confirm(o.Upstream) },
+		Confirm: func() error { return x.confirm(u) },
 	}
 }
 
 // errLeft is the error of a send to an upstream that has left since it was chosen.
 var errLeft = errors.New("upstream has left")
 
+// errPaused is the error of a send to an upstream that wants no requests for a while.
+var errPaused = errors.New("upstream wants no requests")
+
 // errStale is the error of a send while it is not known which upstreams have left.
 var errStale = errors.New("upstreams were not read in time")
 
-// confirm returns errLeft if an upstream takes no more requests, and errStale if that is not
-// known. It is called right before
+// confirm returns errLeft if an upstream takes no more requests, errPaused if it wants none for
+// a while, and errStale if it is not known whether it has left. It is called right before
 // each send: the upstream may have been chosen seconds ago.
-func (x *exchange) confirm(upstream string) error {
+func (x *exchange) confirm(u roster.Upstream) error {
 	if !x.config.Fresh(x.ctx) {
 		return errStale
 	}
-	if x.config.View().Available(x.service.Name, upstream) {
-		return nil
+	if !x.config.View().Available(x.service.Name, u.ID) {
+		x.config.Metrics.UpstreamLeft(x.service.Name)
+		x.config.Logger.Info("relay: not sent to an upstream that has left", zap.String("request", x.call.ID), zap.String("upstream", u.ID),
+			zap.Int("sends", x.sends), zap.Duration("after", time.Since(x.started)))
+		return errLeft
+	}
+	if x.pauses.remaining(time.Now(), u) > 0 {
+		return errPaused
 	}
-	x.config.Metrics.UpstreamLeft(x.service.Name)
-	x.config.Logger.Info("relay: not sent to an upstream that has left", zap.String("request", x.call.ID), zap.String("upstream", upstream),
-		zap.Int("sends", x.sends), zap.Duration("after", time.Since(x.started)))
-	return errLeft
+	return nil
+}
+
+// isUnsent reports whether err is that of a send that confirm has stopped, and whether to try
+// another upstream.
+func isUnsent(err error) (unsent, another bool) {
+	another = errors.Is(err, errLeft) || errors.Is(err, errPaused)
+	return another || errors.Is(err, errStale), another
 }
 
 // creditBudget adds to the service's retry budget. It is called once for each
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -5,13 +5,16 @@
 	"bytes"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/tanagerlb/tanagerlb/internal/link"
 	"github.com/tanagerlb/tanagerlb/pkg/engine"
+	"github.com/tanagerlb/tanagerlb/pkg/roster"
 	"github.com/tanagerlb/tanagerlb/platform"
 )
 
@@ -35,7 +38,12 @@
 func (x *exchange) generate() {
 	exclude := map[string]bool{}
 	for {
-		reservation := x.config.Reserver.Reserve(x.ctx, x.slotRequest(exclude))
+		request, wait := x.slotRequest(exclude)
+		if wait > 0 {
+			x.refuse(reasonLimits, wait)
+			return
+		}
+		reservation := x.config.Reserver.Reserve(x.ctx, request)
 		slot := reservation.Slot
 		x.logPlacement(reservation)
 		if x.callerGone() {
@@ -73,21 +81,38 @@
 		zap.Strings("asked", r.Replies), zap.Duration("after", time.Since(x.started)))
 }
 
+// reasonLimits is the reason with which a request is refused if all upstreams have said that
+// they take none now.
+const reasonLimits = "upstreams are at their limits"
+
 // slotRequest describes the request for the holders of the engines, which decide
 // whether to grant it a slot. The holder of an engine is the VM whose claim on the
-// engine is in force; it alone schedules the engine.
-func (x *exchange) slotRequest(exclude map[string]bool) SlotRequest {
+// engine is in force; it alone schedules the engine. If no engine wants requests, wait is
+// the time until one does.
+func (x *exchange) slotRequest(exclude map[string]bool) (request SlotRequest, wait time.Duration) {
 	objective := x.route.Objective
 	if objective <= 0 {
 		objective = time.Until(x.deadline)
 	}
 	group, spare := x.config.View().engines(x.service.Name, x.call.Model)
+	candidates := group.Upstreams
+	if spare != nil {
+		candidates = append(slices.Clone(candidates), *spare)
+	}
+	wait, paused := x.pauses.shortest(time.Now(), candidates)
+	if len(paused) > 0 {
+		exclude = maps.Clone(exclude)
+		maps.Copy(exclude, paused)
+	}
+	if slices.ContainsFunc(candidates, func(u roster.Upstream) bool { return !exclude[u.ID] }) {
+		wait = 0
+	}
 	return SlotRequest{
 		Service: x.service.Name, Engines: group.Upstreams, IDs: group.IDs, Spare: spare, Exclude: exclude,
 		Name: engine.Name{Model: x.call.Model, Adapter: x.call.Adapter}, PromptParts: x.call.PromptParts,
 		PromptTokens: x.call.PromptTokens, MaxTokens: x.call.MaxTokens, Urgency: x.route.Urgency,
 		Objective: x.started.Add(objective), UsefulUntil: earlier(x.started.Add(time.Duration(usefulFactor*float64(objective))), x.deadline), Deadline: x.deadline,
-	}
+	}, wait
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -103,17 +128,17 @@
 	x.sends++
 	run := x.beginRun(time.Now(), slot.Upstream)
 	send := platform.ForwardOptions{
-		Upstream: slot.Upstream.ID, Timeout: time.Until(x.deadline), Version: slot.AdapterVersion, LastEventID: x.lastID,
+		Timeout: time.Until(x.deadline), Version: slot.AdapterVersion, LastEventID: x.lastID,
 	}
-	request := x.outbound(send)
+	request := x.outbound(slot.Upstream, send)
 	e, err := x.config.Pool.Do(x.ctx, slot.Upstream.Address, request)
-	if left := errors.Is(err, errLeft); left || errors.Is(err, errStale) {
+	if unsent, another := isUnsent(err); unsent {
 		x.sends--
 		slot.Release(engine.Done)
-		if !left {
+		if !another {
 			x.refuse(errStale.Error(), retryAfter)
 		}
-		return left
+		return another
 	}
 	if err != nil {
 		return x.handleUnanswered(slot, run, err)
