fix(roster,relay): what an upstream says holds for a start that the VM does not know yet

Now an upstream is gone as soon as one that started later has its address, and a wait or a leaving ends only with a start after it was said.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -285,7 +285,7 @@
 	case limitObserved:
 		c.handleLimit(now, e.upstream, e.Observation)
 	case leavingAnswered:
-		c.noteLeaving(now, e.run)
+		c.noteLeaving(now, e)
 	default:
 		return false
 	}
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -214,6 +214,10 @@
 	}
 	c.logger.Info("upstream: "+change.String(), zap.String("upstream", u.ID), zap.String("service", u.Service),
 		zap.Stringer("address", u.Address), zap.Int64("offset", r.Offset), zap.Int64("born", u.StartTime))
+	for _, id := range c.roster.Displaced(u) {
+		c.logger.Info("upstream: another process uses its address", zap.String("upstream", id), zap.Stringer("address", u.Address))
+		c.markMissing(now, id, 0)
+	}
 	if change == roster.Restarted {
 		c.noteCrash(now, u.ID, time.UnixMilli(u.StartTime), learnedFromRestart)
 		delete(c.held, u.ID)
@@ -223,7 +227,10 @@
 }
 
 // leavingAnswered reports that an answer of an upstream said that it leaves.
-type leavingAnswered struct{ run roster.Run }
+type leavingAnswered struct {
+	run roster.Run
+	at  time.Time
+}
 
 func (leavingAnswered) event() {}
 
@@ -231,15 +238,16 @@
 // request path.
 func (c *control) reportLeaving(u roster.Upstream) {
 	if c.view.Load().Available(u.Service, u.ID) {
-		c.post(leavingAnswered{run: roster.Run{ID: u.ID, StartTime: u.StartTime}})
+		c.post(leavingAnswered{run: roster.Run{ID: u.ID, StartTime: u.StartTime}, at: time.Now()})
 	}
 }
 
 // noteLeaving holds an upstream that says that it leaves to be draining, as if its entry
 // said so, and tells all VMs. Only another start of the upstream ends it: an upstream that
 // has said so gets no requests by which it could take it back.
-func (c *control) noteLeaving(now time.Time, r roster.Run) {
-	if !c.roster.NoteDraining(now, r) {
+func (c *control) noteLeaving(now time.Time, e leavingAnswered) {
+	r := e.run
+	if !c.roster.NoteLeaving(e.at, r) {
 		return
 	}
 	c.logger.Info("upstream: "+roster.Draining.String(), zap.String("upstream", r.ID), zap.Int64("born", r.StartTime), zap.String("source", "answer"))
--- a/internal/relay/pauses.go
+++ b/internal/relay/pauses.go
@@ -10,21 +10,34 @@
 // pauses holds until when upstreams that rejected a request want none from this VM. It is
 // safe for concurrent use.
 type pauses struct {
-	mu    sync.Mutex
-	until map[roster.Run]time.Time
+	mu sync.Mutex
+	of map[string]pause // by id
 }
 
-func runOf(u roster.Upstream) roster.Run { return roster.Run{ID: u.ID, StartTime: u.StartTime} }
+type pause struct {
+	noted, until time.Time
+	startTime    int64 // of the upstream, as this VM knew it
+}
+
+// remaining returns how long an upstream still wants no requests, or 0. If it has started
+// anew since, it has not asked for that; but the VM may have learned of the start later than
+// of the pause.
+func (p pause) remaining(now time.Time, u roster.Upstream) time.Duration {
+	if u.StartTime != p.startTime && time.UnixMilli(u.StartTime).After(p.noted) {
+		return 0
+	}
+	return max(p.until.Sub(now), 0)
+}
 
 // note records that an upstream wants no requests for a time.
 func (p *pauses) note(now time.Time, u roster.Upstream, wait time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.until == nil {
-		p.until = map[roster.Run]time.Time{}
+	if p.of == nil {
+		p.of = map[string]pause{}
 	}
-	if end := now.Add(wait); end.After(p.until[runOf(u)]) {
-		p.until[runOf(u)] = end
+	if next := (pause{noted: now, until: now.Add(wait), startTime: u.StartTime}); next.until.After(p.of[u.ID].until) || p.of[u.ID].remaining(now, u) == 0 {
+		p.of[u.ID] = next
 	}
 }
 
@@ -32,7 +45,7 @@
 func (p *pauses) remaining(now time.Time, u roster.Upstream) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return max(p.until[runOf(u)].Sub(now), 0)
+	return p.of[u.ID].remaining(now, u)
 }
 
 // shortest returns the shortest time for which one of the upstreams still wants no
@@ -40,12 +53,12 @@
 func (p *pauses) shortest(now time.Time, upstreams []roster.Upstream) (wait time.Duration, paused map[string]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.until) == 0 {
+	if len(p.of) == 0 {
 		return 0, nil
 	}
 	for _, u := range upstreams {
-		remaining := p.until[runOf(u)].Sub(now)
-		if remaining <= 0 {
+		remaining := p.of[u.ID].remaining(now, u)
+		if remaining == 0 {
 			continue
 		}
 		if paused == nil {
@@ -63,9 +76,9 @@
 func (p *pauses) expire(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for r, until := range p.until {
-		if !now.Before(until) {
-			delete(p.until, r)
+	for id, one := range p.of {
+		if !now.Before(one.until) {
+			delete(p.of, id)
 		}
 	}
 }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -89,7 +89,8 @@
 	upstreams map[string]*upstreamState
 	gone      map[string]goneUpstream // upstreams that Expire dropped
 	entries   map[string]Digest       // newest entry of each upstream in the store
-	leaving   map[Run]time.Time       // upstreams that others know to be draining, and when they told it
+	leaving   map[Run]time.Time       // upstreams that are known to be draining not by their entries, and since when
+	said      map[string]time.Time    // when upstreams last said in an answer that they leave, by id
 }
 
 // Run identifies one run of an upstream's process.
@@ -126,6 +127,14 @@
 	return true
 }
 
+// NoteLeaving records that an upstream said in an answer that it leaves, and reports whether
+// that changes anything. The VM may not have learned of its last start yet.
+func (t *Table) NoteLeaving(at time.Time, r Run) bool {
+	maps.DeleteFunc(t.said, func(_ string, said time.Time) bool { return at.Sub(said) > leavingTTL })
+	t.said[r.ID] = at
+	return t.NoteDraining(at, r)
+}
+
 // goneUpstream is what is remembered of an upstream that is gone.
 type goneUpstream struct {
 	Upstream
@@ -138,7 +147,7 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{upstreams: map[string]*upstreamState{}, gone: map[string]goneUpstream{}, entries: map[string]Digest{}, leaving: map[Run]time.Time{}}
+	return &Table{upstreams: map[string]*upstreamState{}, gone: map[string]goneUpstream{}, entries: map[string]Digest{}, leaving: map[Run]time.Time{}, said: map[string]time.Time{}}
 }
 
 // NoteEntry records the newest entry of an upstream in the store, and reports whether it
@@ -171,6 +180,8 @@
 	case u.StartTime < s.StartTime:
 		return Stale
 	case u.StartTime > s.StartTime:
+		// What it said after this start was of this run, which was not known yet.
+		u.Draining = u.Draining || t.said[u.ID].After(time.UnixMilli(u.StartTime))
 		t.upstreams[u.ID] = &upstreamState{Upstream: u}
 		return Restarted
 	}
@@ -215,6 +226,26 @@
 	return true
 }
 
+// Displaced returns the upstreams that have ended because a process that started later uses
+// their address: those at the address of the given one, or the given one itself. Upstreams
+// that report no start time are not compared.
+func (t *Table) Displaced(u Upstream) []string {
+	if u.StartTime == 0 {
+		return nil
+	}
+	var list []string
+	for id, s := range t.upstreams {
+		switch {
+		case id == u.ID || s.Address != u.Address || s.StartTime == 0 || s.StartTime == u.StartTime:
+		case s.StartTime > u.StartTime:
+			return []string{u.ID}
+		default:
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
 // HasMissing reports whether the table holds an upstream whose entry is missing.
 func (t *Table) HasMissing() bool {
 	for _, s := range t.upstreams {
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -60,3 +61,46 @@
 	is.Equal(gone[0].ID, "u")
 	is.Equal(len(table.IDs()), 0)
 }
+
+// Guards against requests to an upstream whose address another process uses since (soak
+// seed 6): it rejects them.
+func TestUpstreamAtAnAddressThatIsUsedAgainIsDisplaced(t *testing.T) {
+	address := netip.MustParseAddrPort("10.0.0.1:1")
+	at := func(id string, port uint16, started int64) roster.Upstream {
+		return roster.Upstream{ID: id, Address: netip.AddrPortFrom(address.Addr(), port), StartTime: started}
+	}
+	for _, c := range []struct {
+		name string
+		next roster.Upstream
+		want []string
+	}{
+		{"started later", at("b", 1, 8), []string{"a"}},
+		{"another address", at("b", 2, 8), nil},
+		{"started earlier, from an old copy", at("b", 1, 6), []string{"b"}},
+		{"without a start time", at("b", 1, 0), nil},
+		{"the same one", at("a", 1, 8), nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			table := roster.New()
+			table.Apply(at("a", 1, 7))
+			table.Apply(c.next)
+			is.Equal(table.Displaced(c.next), c.want)
+		})
+	}
+}
+
+// A VM may hear that an upstream leaves before it learns of the start of that run.
+func TestUpstreamThatLeavesAfterAStartThatIsNotKnown(t *testing.T) {
+	for _, c := range []struct {
+		started int64 // of the run that becomes known
+		leaving bool
+	}{{start.Add(-time.Second).UnixMilli(), true}, {start.Add(time.Second).UnixMilli(), false}} {
+		is := is.New(t)
+		table := roster.New()
+		table.Apply(upstream(false, 1))
+		table.NoteLeaving(start, roster.Run{ID: "u", StartTime: 1})
+		is.Equal(table.Apply(upstream(false, c.started)), roster.Restarted)
+		is.Equal(len(table.Serving()) == 0, c.leaving)
+	}
+}
