--- /dev/null
+++ b/internal/plain/plain_test.go
@@ -0,0 +1,66 @@
+package plain
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// serveOnce answers one request with a text, and then closes or resets the connection.
+func serveOnce(t *testing.T, text string, reset bool) netip.AddrPort {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_ = r.Body.Close()
+		}
+		_, _ = c.Write([]byte(text))
+		if reset {
+			time.Sleep(20 * time.Millisecond) // lets what was sent arrive
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+	}()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// An answer may have neither a length nor chunks and end with its connection. One that is
+// reset on the way is not whole.
+func TestAnswersThatEndWithTheirConnection(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		reset      bool
+		whole      bool
+	}{
+		{"closed", "HTTP/1.1 200 OK\r\n\r\nyes", false, true},
+		{"HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\nyes", false, true},
+		{"reset", "HTTP/1.1 200 OK\r\n\r\nyes", true, false},
+		{"shorter than its length", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nyes", false, false},
+		{"chunks without an end", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n", false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			client := NewClient(Config{DialTimeout: time.Second})
+			reply, err := client.Call(t.Context(), serveOnce(t, c.text, c.reset), Call{Name: "x", Body: "b"})
+			if !c.whole {
+				is.True(errors.Is(err, ErrIncomplete))
+				return
+			}
+			is.NoErr(err)
+			is.Equal(reply, Reply{Status: http.StatusOK, Body: "yes"})
+		})
+	}
+}
