fix(edge): a check after a broken request tells another process from the one that broke off

Cause: the check opened a connection only, so the next process passed for the one before.

Now it is a health check that names the upstream: status 421 or another id in the answer shows that the process has ended. A busy or silent one counts as running, as before.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -142,8 +142,8 @@
 	events     chan event
 	view       atomic.Pointer[relay.View]
 	directory  atomic.Pointer[directory]
-	closeIdle  func(netip.AddrPort)                        // closes connections to the address of an upstream that left
-	check      func(context.Context, netip.AddrPort) error // opens a connection to an upstream
+	closeIdle  func(netip.AddrPort)                                                  // closes connections to the address of an upstream that left
+	check      func(ctx context.Context, u roster.Upstream, healthPath string) error // returns an error if an upstream's process has ended
 
 	table           *route.Table
 	roster          *roster.Table
--- a/internal/edge/crash_tracker.go
+++ b/internal/edge/crash_tracker.go
@@ -89,7 +89,7 @@
 
 // ReportUnreachable implements relay.CrashTracker.
 func (t crashTracker) ReportUnreachable(upstream string) {
-	t.control.post(unreachable{upstream: upstream})
+	t.control.post(unreachable{upstream: upstream, learned: learnedByDial})
 }
 
 // completions has the causes with which requests ran to their end during the last
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -145,7 +145,7 @@
 		engines: platform.NewEngineClient(platform.EngineConfig{Timeout: orderTimeout}),
 		events:  make(chan event, eventBuffer),
 		roster:  roster.New(), fence: fence.New(), versions: map[engine.Name]engine.Version{}, loadLimiters: map[string]*loadLimiter{}, poison: newPoison(), newest: map[platform.Topic]map[string]platform.Record{}, held: map[string]*heldEngine{},
-		fleetEnd: -1, storeEra: storeEra{topics: map[platform.Topic]int64{}}, closeIdle: v.pool.CloseIdle, check: v.pool.Check,
+		fleetEnd: -1, storeEra: storeEra{topics: map[platform.Topic]int64{}}, closeIdle: v.pool.CloseIdle, check: checker{v.pool}.check,
 		gossip: gossip.New(gossip.Config{
 			ProbeTimeout: 200 * time.Millisecond, SuspicionTimeout: time.Second, MaxUpdates: 6, MaxTickGap: 400 * time.Millisecond,
 		}, self),
--- /dev/null
+++ b/internal/edge/identity.go
@@ -0,0 +1,64 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/tanagerlb/tanagerlb/internal/link"
+	"github.com/tanagerlb/tanagerlb/pkg/roster"
+	"github.com/tanagerlb/tanagerlb/platform"
+)
+
+// checkTimeout is the timeout of a check of an upstream: a dial and a short request. A busy
+// upstream may answer later.
+const checkTimeout = 2 * dialTimeout
+
+// maxHealthBytes bounds the part of the body of a health check's response that is read.
+const maxHealthBytes = 4 << 10
+
+// errReplaced is the error of a check of an upstream whose address another process uses.
+var errReplaced = errors.New("another process uses the address")
+
+// checker checks whether an upstream's process still runs.
+type checker struct{ pool *link.Pool }
+
+// check returns an error if the upstream accepts no connections or if another process
+// answers at its address. healthPath is the path of its health check; if it is empty, only a
+// connection is opened.
+func (c checker) check(ctx context.Context, u roster.Upstream, healthPath string) error {
+	if healthPath == "" {
+		return c.pool.Check(ctx, u.Address) //nolint:wrapcheck // only tells that it failed
+	}
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	e, err := c.pool.Do(ctx, u.Address, link.Request{
+		Method: http.MethodGet, Target: healthPath, Host: u.Address.String(), Header: platform.HealthHeader(u.ID),
+	})
+	switch {
+	case errors.Is(err, link.ErrNotSent):
+		return err //nolint:wrapcheck // only tells that it failed
+	case err != nil:
+		return nil //nolint:nilerr // it accepts connections, but is busy or silent
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(e.Response.Body, maxHealthBytes))
+	e.Close(time.Now(), err == nil && n < maxHealthBytes)
+	if platform.AnsweredByAnother(u.ID, e.Response.StatusCode, e.Response.Header) {
+		return errReplaced
+	}
+	return nil
+}
+
+// healthPath returns the path of the health check of a service, or "" if it is not known.
+func (c *control) healthPath(service string) string {
+	if c.table == nil {
+		return ""
+	}
+	s := c.table.Service(service)
+	if s == nil {
+		return ""
+	}
+	return s.HealthPath
+}
--- a/internal/edge/parts_test.go
+++ b/internal/edge/parts_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"net/netip"
 	"testing"
 	"time"
 
@@ -167,7 +166,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			vm := loneVM()
-			vm.check = func(context.Context, netip.AddrPort) error { return c.refused }
+			vm.check = func(context.Context, roster.Upstream, string) error { return c.refused }
 			at := start
 			for i := range 3 {
 				at = at.Add(time.Second)
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -66,20 +66,21 @@
 // How a VM learns of a crash, in logs and metrics.
 const (
 	learnedByDial           = "dial failed"
+	learnedByCheck          = "another process answers"
 	learnedFromRestart      = "entry shows a restart"
 	learnedFromMissingEntry = "entry is gone"
 	learnedBefore           = "before the request broke off"
 )
 
-// probeDelay is the time from the end of a broken run to the check whether its upstream
-// still accepts connections: a process that ends closes them one after the other.
+// probeDelay is the time from the end of a broken run to the check whether its upstream's
+// process still runs: a process that ends closes them one after the other.
 const probeDelay = 50 * time.Millisecond
 
 // requestBroken is a request that broke off while an upstream ran it.
 type requestBroken struct{ relay.BrokenRun }
 
-// unreachable reports that an upstream accepts no connections.
-type unreachable struct{ upstream string }
+// unreachable reports that an upstream's process has ended, and how that was learned.
+type unreachable struct{ upstream, learned string }
 
 // requestCompleted reports that a request ran to its end although upstreams have
 // crashed under it before.
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"testing"
 	"time"
@@ -28,7 +27,7 @@
 		limits: newLimits(newPacer(self, nil, nil)), logger: zap.NewNop(), metrics: metric.New(), self: self, poison: newPoison(), gossip: gossip.New(gossip.Config{}, self),
 		newest: map[platform.Topic]map[string]platform.Record{}, storeEra: storeEra{topics: map[platform.Topic]int64{}},
 		roster: roster.New(), fence: fence.New(),
-		events: make(chan event, 100), check: func(context.Context, netip.AddrPort) error { return nil },
+		events: make(chan event, 100), check: func(context.Context, roster.Upstream, string) error { return nil },
 	}
 }
 
@@ -94,7 +93,7 @@
 			is := is.New(t)
 			vm := loneVM()
 			checks := 0
-			vm.check = func(context.Context, netip.AddrPort) error {
+			vm.check = func(context.Context, roster.Upstream, string) error {
 				checks++
 				return c.refused
 			}
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -50,7 +51,7 @@
 	case upstreamChecked:
 		delete(c.poison.probing, e.upstream)
 	case unreachable:
-		c.noteCrash(now, e.upstream, now, learnedByDial)
+		c.noteCrash(now, e.upstream, now, e.learned)
 	case crashesSaved:
 		c.noteSaved(now, e)
 	case requestCompleted:
@@ -62,45 +63,55 @@
 	return true
 }
 
-// crashProbe checks whether an upstream still accepts connections.
+// crashProbe checks whether an upstream's process still runs.
 type crashProbe struct {
-	check    func(context.Context, netip.AddrPort) error
+	check    func(context.Context, roster.Upstream, string) error
 	post     func(event)
 	upstream roster.Upstream
+	path     string // of its health check
 }
 
 func (p *crashProbe) run(ctx context.Context) {
 	time.Sleep(probeDelay)
-	if err := p.check(ctx, p.upstream.Address); err != nil && ctx.Err() == nil {
-		p.post(unreachable{upstream: p.upstream.ID})
+	if err := p.check(ctx, p.upstream, p.path); err != nil && ctx.Err() == nil {
+		p.post(newUnreachable(p.upstream.ID, err))
 	}
 	p.post(upstreamChecked{upstream: p.upstream.ID})
 }
 
-// endProbe checks whether the upstream of an answer that ended with its connection still
-// accepts connections. If it does not, the request counts as one that broke off.
+// endProbe checks whether the process of the upstream of an answer that ended with its
+// connection still runs. If it does not, the request counts as one that broke off.
 type endProbe struct {
-	check func(context.Context, netip.AddrPort) error
+	check func(context.Context, roster.Upstream, string) error
 	post  func(event)
 	ended relay.CompletedRun
+	path  string // of the upstream's health check
 }
 
 func (p *endProbe) run(ctx context.Context) {
 	time.Sleep(probeDelay)
-	err := p.check(ctx, p.ended.Upstream.Address)
+	err := p.check(ctx, p.ended.Upstream, p.path)
 	switch {
 	case ctx.Err() != nil:
 	case err != nil:
 		p.post(requestBroken{relay.BrokenRun{
 			Request: p.ended.Request, Causes: p.ended.Causes, Caller: p.ended.Caller, Upstream: p.ended.Upstream, Sent: p.ended.Sent, Heard: p.ended.Sent,
 		}})
-		p.post(unreachable{upstream: p.ended.Upstream.ID})
+		p.post(newUnreachable(p.ended.Upstream.ID, err))
 	default:
 		p.post(requestCompleted{p.ended})
 	}
 	p.post(upstreamChecked{upstream: p.ended.Upstream.ID})
 }
 
+// newUnreachable returns the event for an upstream whose check failed with err.
+func newUnreachable(upstream string, err error) unreachable {
+	if errors.Is(err, errReplaced) {
+		return unreachable{upstream: upstream, learned: learnedByCheck}
+	}
+	return unreachable{upstream: upstream, learned: learnedByDial}
+}
+
 // checkEnded checks the upstream of an answer that ended with its connection, unless it is
 // being checked: another answer will tell.
 func (c *control) checkEnded(ctx context.Context, e connectionEnded) {
@@ -108,7 +119,7 @@
 		return
 	}
 	c.poison.probing[e.Upstream.ID] = true
-	go (&endProbe{check: c.check, post: c.post, ended: e.CompletedRun}).run(ctx)
+	go (&endProbe{check: c.check, post: c.post, ended: e.CompletedRun, path: c.healthPath(e.Upstream.Service)}).run(ctx)
 }
 
 // noteBroken stores a request that broke off, in case its upstream turns out to have
@@ -118,7 +129,7 @@
 	id := e.Upstream.ID
 	if !c.poison.probing[id] {
 		c.poison.probing[id] = true
-		go (&crashProbe{check: c.check, post: c.post, upstream: e.Upstream}).run(ctx)
+		go (&crashProbe{check: c.check, post: c.post, upstream: e.Upstream, path: c.healthPath(e.Upstream.Service)}).run(ctx)
 	}
 	if !c.poison.isCause(now, e) {
 		return
