fix(edge): VMs that start are not told of the crashes of a part that most requests share

Cause: the VMs that knew better had saved and told them all the same. Now a part that a VM does not block because most requests share it is neither saved nor told to VMs that start. TestCommonPartIsNotBlockedByAColdVM failed before.

--- a/internal/edge/parts_test.go
+++ b/internal/edge/parts_test.go
@@ -99,6 +99,11 @@
 	}
 	is.Equal(tracker.Admit(at, prompt(50, sharedPart)), relay.Block{})
 	is.True(tracker.Admit(at, prompt(51, sharedPart, poisonPart)).Remaining > 0)
+
+	next := loneVM() // has seen no requests, and is told what the first one knows
+	next.recordCrashes(at, vm.knownCrashes(at))
+	is.Equal(crashTracker{next}.Admit(at, prompt(52, sharedPart)), relay.Block{})
+	is.True(crashTracker{next}.Admit(at, prompt(53, sharedPart, poisonPart)).Remaining > 0)
 }
 
 // A VM that starts knows of the crashes under a part.
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -206,15 +206,13 @@
 	p := c.poison
 	watched := p.tracker.Blocked()
 	names, _ := c.liveVMs()
-	cold := p.whole.empty(now)
 	p.parts = false
 	for f, until := range watched {
 		if until.IsZero() {
 			continue
 		}
-		isPart := p.tracker.Runs(f)[0].Kind == crash.Part
-		p.parts = p.parts || isPart
-		if isPart && cold && p.arrivals.share(f) >= commonShare {
+		p.parts = p.parts || p.tracker.Runs(f)[0].Kind == crash.Part
+		if p.isCommon(now, f) {
 			watched[f] = time.Time{}
 			continue
 		}
@@ -234,6 +232,14 @@
 	p.stale, p.publishedAt = false, now
 }
 
+// isCommon reports whether a cause is a part of prompts that most requests share, and this VM
+// has seen no whole answer that could prove it. It is not blocked then, and neither are the
+// VMs told that start meanwhile.
+func (p *poison) isCommon(now time.Time, f crash.Fingerprint) bool {
+	runs := p.tracker.Runs(f)
+	return len(runs) > 0 && runs[0].Kind == crash.Part && p.whole.empty(now) && p.arrivals.share(f) >= commonShare
+}
+
 // forget forgets that upstreams crashed under a cause, or may have. It reports whether
 // any is known to have, and whether the cause was blocked.
 func (p *poison) forget(f crash.Fingerprint) (counted, blocked bool) {
