--- a/internal/testlib/proxy.go
+++ b/internal/testlib/proxy.go
@@ -9,6 +9,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -40,15 +41,25 @@
 	bytes    atomic.Int64
 }
 
-// proxyAddress is the address of all proxies. It is not the one from which connections
-// are opened by default, as one of these may take the port of a proxy that is in mode
-// Down.
-const proxyAddress = "127.0.0.2:0"
+// proxies is the number of proxies that this process has started.
+var proxies atomic.Uint32
+
+// proxyAddress returns an address for a proxy that no other one has: another listener, or a
+// connection that is opened, may take the port of a proxy in mode Down.
+func proxyAddress() string {
+	const (
+		first, networks = 2, 18 // second bytes of the addresses; the VMs of the soak have others
+		hosts           = 250
+	)
+	n := proxies.Add(1)
+	address := netip.AddrFrom4([4]byte{127, byte(first + os.Getpid()%networks), byte(n / hosts % hosts), byte(1 + n%hosts)})
+	return netip.AddrPortFrom(address, 0).String()
+}
 
 // NewProxy starts a proxy that runs until the test ends.
 func NewProxy(t testing.TB, target netip.AddrPort) *Proxy {
 	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", proxyAddress)
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", proxyAddress())
 	if err != nil {
 		t.Fatalf("listen for proxy: %v", err)
 	}
