--- /dev/null
+++ b/internal/edge/parts.go
@@ -0,0 +1,77 @@
+package edge
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/tanagerlb/tanagerlb/pkg/crash"
+)
+
+// commonShare is the share of the requests from which on a part of prompts is not blocked by
+// a VM that has seen no whole answer: it cannot tell a part that all requests of a route
+// share from one that crashes upstreams.
+const commonShare = 0.25
+
+// noteComplete notes that a request with these causes ran to its end, which proves that the
+// parts of its prompt crash no upstreams.
+func (p *poison) noteComplete(now time.Time, causes []crash.Cause) {
+	parts := slices.IndexFunc(causes, func(c crash.Cause) bool { return c.Kind == crash.Part })
+	if parts < 0 {
+		parts = len(causes)
+	}
+	p.complete.add(now, causes[:parts])
+	p.whole.add(now, causes[parts:])
+}
+
+// isProved reports whether a cause is a part of prompts that was in a whole answer shortly
+// before: it cannot have crashed an upstream. All requests of a route may share it.
+func (p *poison) isProved(now time.Time, kind crash.Kind, f crash.Fingerprint) bool {
+	return kind == crash.Part && p.whole.has(now, f)
+}
+
+// isCommon reports whether a cause is a part of prompts that many requests share while this
+// VM has seen no whole answer that could prove it. Such a part is not blocked, and VMs that
+// start are not told of its crashes.
+func (p *poison) isCommon(now time.Time, f crash.Fingerprint) bool {
+	runs := p.tracker.Runs(f)
+	return len(runs) > 0 && runs[0].Kind == crash.Part && p.whole.empty(now) && p.arrivals.share(f) >= commonShare
+}
+
+// arrivals counts requests by part of their prompts, for the last completionTime and the
+// one before.
+type arrivals struct {
+	mu          sync.Mutex
+	begun       time.Time                 // begin of the current time
+	now, before map[crash.Fingerprint]int // requests with each part
+	all, old    int                       // requests with any part, in the current time and in the one before
+}
+
+// add counts a request that has arrived.
+func (a *arrivals) add(now time.Time, causes []crash.Cause) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.now == nil || now.Sub(a.begun) >= completionTime {
+		a.before, a.old = a.now, a.all
+		a.now, a.all, a.begun = map[crash.Fingerprint]int{}, 0, now
+	}
+	if causes[len(causes)-1].Kind != crash.Part {
+		return
+	}
+	a.all++
+	for _, c := range causes {
+		if _, known := a.now[c.Print]; c.Kind == crash.Part && (known || len(a.now) < maxCompletions) {
+			a.now[c.Print]++
+		}
+	}
+}
+
+// share returns the share of the requests with prompts that have a part, from 0 to 1.
+func (a *arrivals) share(part crash.Fingerprint) float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.all+a.old == 0 {
+		return 0
+	}
+	return float64(a.now[part]+a.before[part]) / float64(a.all+a.old)
+}
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -17,18 +17,14 @@
 	// cause is blocked.
 	blockThreshold = 3
 	// harmlessThreshold is the same for a cause with which a request had run to its end
-	// shortly before: it more likely ran beside the true one. The platform allows three repeats after the
-	// third crash.
+	// shortly before: it more likely ran beside the true one. The platform allows three
+	// repeats after the third crash.
 	harmlessThreshold = 6
 	// blockTime is how long a request is blocked at first. The time grows with each
 	// further crash, up to maxBlockTime: the decision may be wrong, and only a run that
 	// ends well can show it.
 	blockTime    = time.Minute
 	maxBlockTime = 3 * 24 * time.Hour
-	// commonShare is the share of the requests from which on a part of prompts is not blocked
-	// by a VM that has seen no whole answer: it cannot tell a part that all requests of a
-	// route share from one that crashes upstreams.
-	commonShare = 0.25
 	// reviewTime is the time after which a VM looks again at the parts that it blocks.
 	reviewTime = 500 * time.Millisecond
 	// crashTTL is how long the crashes under a cause are remembered after the last one
@@ -232,14 +228,6 @@
 	p.stale, p.publishedAt = false, now
 }
 
-// isCommon reports whether a cause is a part of prompts that most requests share, and this VM
-// has seen no whole answer that could prove it. It is not blocked then, and neither are the
-// VMs told that start meanwhile.
-func (p *poison) isCommon(now time.Time, f crash.Fingerprint) bool {
-	runs := p.tracker.Runs(f)
-	return len(runs) > 0 && runs[0].Kind == crash.Part && p.whole.empty(now) && p.arrivals.share(f) >= commonShare
-}
-
 // forget forgets that upstreams crashed under a cause, or may have. It reports whether
 // any is known to have, and whether the cause was blocked.
 func (p *poison) forget(f crash.Fingerprint) (counted, blocked bool) {
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -55,7 +55,7 @@
 	case crashesSaved:
 		c.noteSaved(now, e)
 	case requestCompleted:
-		c.poison.noteWhole(now, e.Causes)
+		c.poison.noteComplete(now, e.Causes)
 		c.noteCompleted(now, e)
 	default:
 		return false
