fix(edge): what is common in a VM's requests does not decide for the others

Cause: a VM that had seen no whole answer, and few requests, took the part for one that most requests share, and dropped its crashes from the store, for all VMs.

Now a VM that has seen whole answers says so in its probes; only while none has is a common part not blocked, and this concerns the VM's own requests. What it tells the others and saves is what it counted. TestVMWithFewRequestsBlocksAPart.

--- a/internal/edge/crash_records.go
+++ b/internal/edge/crash_records.go
@@ -79,7 +79,7 @@
 	j := &saveJob{store: c.store, post: c.post, saved: map[crash.Fingerprint][]crash.Run{}}
 	for _, f := range c.unsavedCrashes(now) {
 		runs := c.poison.tracker.Runs(f)
-		if len(runs) < savedCrashes || c.poison.isCommon(now, f) {
+		if len(runs) < savedCrashes {
 			runs = nil
 		}
 		record := platform.Record{Key: keyCrash + f.String()}
@@ -108,12 +108,12 @@
 func (c *control) unsavedCrashes(now time.Time) []crash.Fingerprint {
 	since := map[crash.Fingerprint]time.Time{}
 	for _, f := range c.poison.tracker.Repeated(savedCrashes) {
-		if len(c.poison.tracker.Unknown(f, c.poison.saved[f])) > 0 && !c.poison.isCommon(now, f) {
+		if len(c.poison.tracker.Unknown(f, c.poison.saved[f])) > 0 {
 			since[f] = now
 		}
 	}
 	for f := range c.poison.saved {
-		if len(c.poison.tracker.Runs(f)) < savedCrashes || c.poison.isCommon(now, f) {
+		if len(c.poison.tracker.Runs(f)) < savedCrashes {
 			since[f] = now
 		}
 	}
--- a/internal/edge/parts.go
+++ b/internal/edge/parts.go
@@ -8,10 +8,14 @@
 	"github.com/tanagerlb/tanagerlb/pkg/crash"
 )
 
-// commonShare is the share of the requests from which on a part of prompts is not blocked by
-// a VM that has seen no whole answer: it cannot tell a part that all requests of a route
-// share from one that crashes upstreams.
-const commonShare = 0.25
+const (
+	// commonShare is the share of the requests from which on a part of prompts is not blocked
+	// while no VM has seen a whole answer: a part that all requests of a route share cannot
+	// be told from one that crashes upstreams then.
+	commonShare = 0.25
+	// leastArrivals is the least number of requests by which a VM knows that share.
+	leastArrivals = 20
+)
 
 // noteComplete notes that a request with these causes ran to its end, which proves that the
 // parts of its prompt crash no upstreams.
@@ -30,12 +34,18 @@
 	return kind == crash.Part && p.whole.has(now, f)
 }
 
-// isCommon reports whether a cause is a part of prompts that many requests share while this
-// VM has seen no whole answer that could prove it. Such a part is not blocked, and VMs that
-// start are not told of its crashes.
+// isCold reports whether no VM has seen a whole answer that could prove parts of prompts, as
+// far as this one knows.
+func (p *poison) isCold(now time.Time) bool {
+	return p.whole.empty(now) && now.Sub(p.warmAt) >= completionTime
+}
+
+// isCommon reports whether a cause is a part of prompts that many requests share, or may
+// share, while no VM has seen a whole answer. This VM does not block it then; what it tells
+// the others and the store does not depend on that.
 func (p *poison) isCommon(now time.Time, f crash.Fingerprint) bool {
 	runs := p.tracker.Runs(f)
-	return len(runs) > 0 && runs[0].Kind == crash.Part && p.whole.empty(now) && p.arrivals.share(f) >= commonShare
+	return len(runs) > 0 && runs[0].Kind == crash.Part && p.isCold(now) && p.arrivals.share(f) >= commonShare
 }
 
 // arrivals counts requests by part of their prompts, for the last completionTime and the
@@ -66,12 +76,13 @@
 	}
 }
 
-// share returns the share of the requests with prompts that have a part, from 0 to 1.
+// share returns the share of the requests with prompts that have a part, from 0 to 1; 1 if
+// there were too few.
 func (a *arrivals) share(part crash.Fingerprint) float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.all+a.old == 0 {
-		return 0
+	if a.all+a.old < leastArrivals {
+		return 1
 	}
 	return float64(a.now[part]+a.before[part]) / float64(a.all+a.old)
 }
--- a/internal/edge/parts_test.go
+++ b/internal/edge/parts_test.go
@@ -72,6 +72,7 @@
 		vm.complete(start, prompt(1, sharedPart))
 	}
 	at := start.Add(time.Second)
+	vms[0].handleProbe(at, vms[1].self.Peer, vms[1].newProbe(at))
 	for i := range 12 {
 		vms[0].crashUnder(t, at, fmt.Sprint("e", i), prompt(10+i, sharedPart))
 	}
@@ -91,7 +92,7 @@
 	at := start
 	for i := range 3 {
 		at = at.Add(100 * time.Millisecond)
-		for n := range 5 {
+		for n := range 10 {
 			is.Equal(tracker.Admit(at, prompt(100*i+n, sharedPart)), relay.Block{})
 		}
 		is.Equal(tracker.Admit(at, prompt(10+i, sharedPart, poisonPart)), relay.Block{})
@@ -103,7 +104,28 @@
 	next := loneVM() // has seen no requests, and is told what the first one knows
 	next.recordCrashes(at, vm.knownCrashes(at))
 	is.Equal(crashTracker{next}.Admit(at, prompt(52, sharedPart)), relay.Block{})
-	is.True(crashTracker{next}.Admit(at, prompt(53, sharedPart, poisonPart)).Remaining > 0)
+}
+
+// Guards against a part that is not blocked by VMs with few requests, and whose crashes they
+// drop for all (soak with 24 VMs, seeds 3700 to 3719).
+func TestVMWithFewRequestsBlocksAPart(t *testing.T) {
+	is := is.New(t)
+	warm, _ := vmWithStore(t)
+	now := time.Now()
+	warm.complete(now, prompt(1, sharedPart))
+	for i := range 3 {
+		now = now.Add(time.Second)
+		warm.crashUnder(t, now, fmt.Sprint("e", i), prompt(10+i, sharedPart, poisonPart))
+	}
+	is.True(warm.save(t, now))
+	idle := warm.restart(t, now)
+	idle.poison.warmAt = now // as a probe of the other one tells
+	idle.publishPoison(now)
+	is.True(crashTracker{idle}.Admit(now, prompt(50, sharedPart, poisonPart)).Remaining > 0)
+	is.True(!idle.save(t, now.Add(2*saveGrace)))
+	is.True(!idle.save(t, now.Add(4*saveGrace)))
+	is.True(!idle.poison.isCold(now))
+	is.Equal(len(idle.restart(t, now).poison.tracker.Runs(poisonPart)), 3)
 }
 
 // A VM that starts knows of the crashes under a part.
@@ -118,6 +140,8 @@
 			vm = vm.restart(t, now)
 		}
 	}
+	vm.poison.warmAt = now
+	vm.publishPoison(now)
 	is.True(crashTracker{vm}.Admit(now, prompt(50, poisonPart)).Remaining > 0)
 }
 
@@ -172,6 +196,7 @@
 			is := is.New(t)
 			vm := loneVM()
 			vm.check = func(context.Context, roster.Upstream, string) error { return c.refused }
+			vm.poison.warmAt = start
 			at := start
 			for i := range 3 {
 				at = at.Add(time.Second)
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -174,6 +174,7 @@
 	complete completions // requests
 	whole    completions // parts of prompts
 	arrivals arrivals    // of requests, by part of their prompts
+	warmAt   time.Time   // when another VM last said that it has seen whole answers
 	reviewAt time.Time   // time of the next check of what is to be saved
 	// watched has the causes under which upstreams have crashed or may have, and the
 	// ends of the times for which they are blocked. The request path reads it.
--- a/internal/edge/scheduling.go
+++ b/internal/edge/scheduling.go
@@ -64,6 +64,9 @@
 
 func (c *control) handleProbe(now time.Time, from netip.AddrPort, p *probe) {
 	c.noteEra(now, p.Operator.Era, "peer")
+	if p.Warm {
+		c.poison.warmAt = now
+	}
 	c.storeUptime.note(now, c.downSince(), p.Uptime, p.ReadAge)
 	c.checkBehind(now, p.Operator)
 	changed := c.gossip.ApplyDirect(now, p.From)
@@ -84,7 +87,7 @@
 // newProbe returns a probe with this VM's gossip.
 func (c *control) newProbe(now time.Time) *probe {
 	uptime, age := c.ownUptime(now)
-	return &probe{From: c.gossip.Self(), Updates: c.gossip.Updates(), Uptime: uptime, ReadAge: age, Operator: cursor.Position{Era: c.storeEra.newest, Offset: c.operatorOffset}}
+	return &probe{From: c.gossip.Self(), Updates: c.gossip.Updates(), Uptime: uptime, ReadAge: age, Warm: !c.poison.whole.empty(now), Operator: cursor.Position{Era: c.storeEra.newest, Offset: c.operatorOffset}}
 }
 
 // checkBehind restarts the read of the operator topic if peers have been ahead of
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -296,9 +296,6 @@
 	var runs []crashRun
 	index := map[uint64]int{} // of each run, by its ID
 	for _, f := range c.poison.tracker.Repeated(1) {
-		if c.poison.isCommon(now, f) {
-			continue
-		}
 		for _, r := range newCrashRuns(now, f, c.poison.tracker.Runs(f)) {
 			if i, ok := index[r.ID]; ok {
 				runs[i].Causes = append(runs[i].Causes, r.Causes...)
@@ -334,7 +331,7 @@
 	// Only after all crashes are recorded is it known which are explained.
 	var blocked []crash.Fingerprint
 	for _, cause := range changed {
-		if until := c.poison.tracker.BlockedUntil(cause.Print); now.Before(until) && !slices.Contains(blocked, cause.Print) && !c.poison.isCommon(now, cause.Print) {
+		if until := c.poison.tracker.BlockedUntil(cause.Print); now.Before(until) && !slices.Contains(blocked, cause.Print) {
 			c.logger.Warn("relay: blocking requests that crash upstreams", zap.Stringer("cause", cause.Kind), zap.Stringer("print", cause.Print), zap.Duration("for", until.Sub(now)))
 			blocked = append(blocked, cause.Print)
 		}
