fix(edge): who began a stream outlives all VMs

Cause: who began a stream is known to four VMs. Ruled out: VMs that don't know their peers yet (callers come back 3.7 s later); the record of versions, which refuses rightly. Change: while a service has several versions, one VM in 64 saves the streams in a topic of the store every 200 ms, with one that stands by; VMs that learn of a second version save what they remember; a VM that nobody can tell lists the topic. At rest there is no call. Streams of the last 200 ms, and what the store lost itself, are refused.

--- a/internal/edge/crash_sharing_test.go
+++ b/internal/edge/crash_sharing_test.go
@@ -45,6 +45,7 @@
 	vm.self = gossip.VM{Name: name, Boot: start.UnixMilli(), Peer: netip.MustParseAddrPort(peers.conn.LocalAddr().String())}
 	vm.gossip = gossip.New(gossip.Config{}, vm.self)
 	vm.roster, vm.fence, vm.dispatcher = roster.New(), fence.New(), newDispatcher(vm.self, peers, vm.post, vm.logger)
+	vm.origins = newOrigins(vm.self, peers.send, &vm.limits.pacer.vms, newStreamSaver(vm.self, vm.store, peers.send, &vm.limits.pacer.vms, vm.logger))
 	return vm
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -124,6 +124,7 @@
 	}
 	go (&stateFetcher{vm: v, seeds: s.Seeds, port: s.Peer.Port(), http: c.peers}).run(ctx)
 	go c.announce.run(ctx)
+	go c.origins.saver.run(ctx)
 	return nil
 }
 
@@ -154,7 +155,9 @@
 	c.announce = &announceJob{store: c.store, self: self, logger: v.logger}
 	c.limits = newLimits(newPacer(self, peers.send, c.post))
 	c.software = newSoftware()
-	c.origins = newOrigins(self, peers.send, &c.limits.pacer.vms)
+	saver := newStreamSaver(self, c.store, peers.send, &c.limits.pacer.vms, v.logger)
+	saver.seenEra = func(era int64) { c.post(eraSeen{era: era}) }
+	c.origins = newOrigins(self, peers.send, &c.limits.pacer.vms, saver)
 	c.dispatcher = newDispatcher(self, peers, c.post, v.logger)
 	c.dispatcher.takePace = c.limits.pacer.Take
 	c.view.Store(&relay.View{})
--- a/internal/edge/eras.go
+++ b/internal/edge/eras.go
@@ -42,6 +42,7 @@
 	for _, f := range c.feeds {
 		f.beginEra(now, era, rand.N(eraSpread)) //nolint:gosec // only spreads load
 	}
+	c.origins.saveAgain(now)
 }
 
 // acceptEra reports whether records of a topic that were read in an era may be applied: if
--- a/internal/edge/forward_test.go
+++ b/internal/edge/forward_test.go
@@ -62,6 +62,7 @@
 func newGroupControl(count int, self string) *control {
 	vm := gossip.VM{Name: self, Boot: 1}
 	c := &control{limits: newLimits(newPacer(vm, nil, nil)), logger: zap.NewNop(), self: vm, gossip: gossip.New(gossip.Config{}, vm), settings: platform.Settings{Bounds: platform.Bounds{Fenced: true}}, storeEra: storeEra{topics: map[platform.Topic]int64{}}}
+	c.origins = newOrigins(vm, nil, &c.limits.pacer.vms, newStreamSaver(vm, nil, nil, &c.limits.pacer.vms, c.logger))
 	for i := range count {
 		peer := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i)}), 9)
 		c.gossip.ApplyDirect(start, gossip.Update{VM: gossip.VM{Name: fmt.Sprintf("vm-%03d", i), Boot: 1, Peer: peer}, Status: gossip.Alive})
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -67,16 +67,20 @@
 	vms      *atomic.Pointer[map[string]gossip.VM] // live VMs by name, this one included
 	sequence atomic.Uint64
 	pending  replies[uint64, *originReply]
-	mu       sync.Mutex
+	saver    *streamSaver
+	mu       sync.Mutex // guards the fields below
 	table    *origin.Table
 	history  *origin.History
+	several  map[string]bool // services that have several versions, whose streams are saved
 }
 
-func newOrigins(self gossip.VM, send func(netip.AddrPort, packet), vms *atomic.Pointer[map[string]gossip.VM]) *origins {
-	return &origins{
-		self: self, send: send, vms: vms, history: origin.NewHistory(),
+func newOrigins(self gossip.VM, send func(netip.AddrPort, packet), vms *atomic.Pointer[map[string]gossip.VM], saver *streamSaver) *origins {
+	o := &origins{
+		self: self, send: send, vms: vms, saver: saver, history: origin.NewHistory(), several: map[string]bool{},
 		table: origin.New(origin.Config{Lifetime: originLifetime, MaxStreams: maxOrigins}),
 	}
+	saver.recall = o.recall
+	return o
 }
 
 // others returns other live VMs in rendezvous order for a stream, at most count.
@@ -98,21 +102,73 @@
 	for _, vm := range o.others(key, originCopies) {
 		o.send(vm.Peer, notice)
 	}
+	if o.saves(from.Service) {
+		o.saver.add(now, origin.Stream{Key: key, Origin: from, Began: now})
+	}
 }
 
-func (o *origins) note(now time.Time, stream origin.Key, from origin.Origin) {
+// saves reports whether the streams of a service are saved in the store.
+func (o *origins) saves(service string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	return o.several[service]
+}
+
+func (o *origins) note(now time.Time, stream origin.Key, from origin.Origin) {
+	o.mu.Lock()
 	o.table.Note(now, stream, from)
 	o.history.Note(now, from)
+	unsaved := o.reviewVersions(now, from.Service)
+	o.mu.Unlock()
+	o.saver.add(now, unsaved...)
 }
 
 // noteVersions records the versions of the engines that are known at a time.
-func (o *origins) noteVersions(at time.Time, list ...origin.Origin) {
+func (o *origins) noteVersions(now, at time.Time, list ...origin.Origin) {
+	var unsaved []origin.Stream
 	o.mu.Lock()
-	defer o.mu.Unlock()
 	for _, from := range list {
 		o.history.Note(at, from)
+		unsaved = append(unsaved, o.reviewVersions(now, from.Service)...)
+	}
+	o.mu.Unlock()
+	o.saver.add(now, unsaved...)
+}
+
+// reviewVersions updates whether a service has several versions. It returns the streams that
+// began while it had one, if it has just become known that there are several.
+func (o *origins) reviewVersions(now time.Time, service string) []origin.Stream {
+	several := len(o.history.Since(now.Add(-originLifetime), service)) > 1
+	if several == o.several[service] {
+		return nil
+	}
+	o.several[service] = several
+	if !several {
+		return nil
+	}
+	return o.table.Streams(now, service)
+}
+
+// saveAgain saves all streams again that callers may take up, as the store has come back from a
+// copy.
+func (o *origins) saveAgain(now time.Time) {
+	var unsaved []origin.Stream
+	o.mu.Lock()
+	for service, several := range o.several {
+		if several {
+			unsaved = append(unsaved, o.table.Streams(now, service)...)
+		}
+	}
+	o.mu.Unlock()
+	o.saver.add(now, unsaved...)
+}
+
+// recall takes over what the store knows of streams.
+func (o *origins) recall(now time.Time, list []origin.Stream) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, s := range list {
+		o.table.Recall(now, s)
 	}
 }
 
@@ -135,8 +191,8 @@
 	return &originReply{ID: q.ID, Versions: o.history.Since(now.Add(-q.MaxAge), q.Service)}
 }
 
-// Find implements relay.Origins. If no VM knows the stream, it is known who began it only if
-// all engines that any of them has known in maxAge have the same software.
+// Find implements relay.Origins. If no VM knows the stream, it is known who began it if all
+// engines that any of them has known in maxAge have the same software, or if the store tells.
 func (o *origins) Find(ctx context.Context, service, stream string, maxAge time.Duration) relay.Found {
 	query := &originQuery{ID: o.sequence.Add(1), Stream: origin.KeyOf(stream), Service: service, MaxAge: maxAge}
 	own := o.lookUp(time.Now(), query)
@@ -156,6 +212,11 @@
 			return relay.Found{Known: true, Software: version, Source: "only version"}
 		}
 	}
+	if o.saver.load(ctx, time.Now()) {
+		if saved := o.lookUp(time.Now(), query); saved.Known {
+			return relay.Found{Known: true, Software: saved.Software, Source: "store"}
+		}
+	}
 	return relay.Found{Source: "unknown"}
 }
 
@@ -213,6 +274,7 @@
 // handle handles a packet about the origin of a stream, and returns false for any other one.
 func (o *origins) handle(now time.Time, from netip.AddrPort, p packet) bool {
 	switch {
+	case o.saver.handle(now, p):
 	case p.OriginNotice != nil:
 		o.note(now, p.OriginNotice.Stream, origin.Origin{Service: p.OriginNotice.Service, Software: p.OriginNotice.Software})
 	case p.OriginQuery != nil:
--- a/internal/edge/origins_test.go
+++ b/internal/edge/origins_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"fmt"
+	"net/http/httptest"
 	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
 	"github.com/tanagerlb/tanagerlb/pkg/gossip"
 	"github.com/tanagerlb/tanagerlb/pkg/origin"
+	"github.com/tanagerlb/tanagerlb/platform"
+	"github.com/tanagerlb/tanagerlb/platform/emul"
 )
 
 // originFleet is the part of several VMs that knows who began streams, without a network.
@@ -19,16 +23,25 @@
 	dead map[netip.AddrPort]bool
 	list []*origins
 	sent int
+
+	emulated *emul.Store
+	store    *platform.Store
 }
 
-func newOriginFleet(count int) *originFleet {
-	f := &originFleet{vms: map[netip.AddrPort]*origins{}, dead: map[netip.AddrPort]bool{}}
+func newOriginFleet(t *testing.T, count int) *originFleet {
+	t.Helper()
+	emulated := emul.NewStore(func() float64 { return 1 })
+	server := httptest.NewServer(emulated)
+	t.Cleanup(server.Close)
+	store := platform.NewStore(platform.StoreConfig{Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Timeout: time.Second})
+	f := &originFleet{emulated: emulated, store: store, vms: map[netip.AddrPort]*origins{}, dead: map[netip.AddrPort]bool{}}
 	var live atomic.Pointer[map[string]gossip.VM]
 	members := map[string]gossip.VM{}
 	for i := range count {
 		vm := gossip.VM{Name: fmt.Sprintf("vm-%d", i), Peer: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i)}), 9)}
 		members[vm.Name] = vm
-		o := newOrigins(vm, func(to netip.AddrPort, p packet) { f.deliver(vm.Peer, to, p) }, &live)
+		send := func(to netip.AddrPort, p packet) { f.deliver(vm.Peer, to, p) }
+		o := newOrigins(vm, send, &live, newStreamSaver(vm, f.store, send, &live, zap.NewNop()))
 		f.vms[vm.Peer], f.list = o, append(f.list, o)
 	}
 	live.Store(&members)
@@ -42,9 +55,11 @@
 	}
 }
 
-// kill ends a VM, or starts it anew without any knowledge.
+// restart starts a VM anew, without any knowledge.
 func (f *originFleet) restart(o *origins) {
-	o.table, o.history = newOrigins(o.self, nil, nil).table, origin.NewHistory()
+	fresh := newOrigins(o.self, o.send, o.vms, newStreamSaver(o.self, f.store, o.send, o.vms, zap.NewNop()))
+	o.saver, o.table, o.history, o.several = fresh.saver, fresh.table, fresh.history, fresh.several
+	o.saver.recall = o.recall
 }
 
 // Guards against a stream that goes on at other software than that which began it, as the VM to
@@ -71,17 +86,17 @@
 			f.list[0].Begin(time.Now(), "s", v1)
 			for _, o := range f.list {
 				f.restart(o)
-				o.noteVersions(time.Now(), v1, v2)
+				o.noteVersions(time.Now(), time.Now(), v1, v2)
 			}
 		}},
 		{name: "all have started anew, and there is one version", known: true, software: "v2", source: "only version", prepare: func(f *originFleet) {
 			for _, o := range f.list {
-				o.noteVersions(time.Now(), v2)
+				o.noteVersions(time.Now(), time.Now(), v2)
 			}
 		}},
 		{name: "only another VM knows of a second version", prepare: func(f *originFleet) {
-			f.list[5].noteVersions(time.Now(), v1)
-			f.list[1].noteVersions(time.Now(), v2)
+			f.list[5].noteVersions(time.Now(), time.Now(), v1)
+			f.list[1].noteVersions(time.Now(), time.Now(), v2)
 		}},
 		{name: "the id came before", known: true, software: "v2", source: "vm", prepare: func(f *originFleet) {
 			f.list[5].Begin(time.Now(), "s", v1)
@@ -95,7 +110,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			f := newOriginFleet(9)
+			f := newOriginFleet(t, 9)
 			c.prepare(f)
 			found := f.list[5].Find(t.Context(), "lm", "s", 10*time.Second)
 			is.Equal(found.Known, c.known)
@@ -110,7 +125,7 @@
 // The beginning of a stream costs a few datagrams, whatever the number of VMs.
 func TestBeginTellsAFewVMs(t *testing.T) {
 	is := is.New(t)
-	f := newOriginFleet(60)
+	f := newOriginFleet(t, 60)
 	f.list[0].Begin(time.Now(), "s", origin.Origin{Service: "lm", Software: "v1"})
 	is.Equal(f.sent, originCopies)
 	f.list[30].Find(t.Context(), "lm", "s", time.Second)
--- a/internal/edge/packet.go
+++ b/internal/edge/packet.go
@@ -35,6 +35,8 @@
 	OriginNotice *originNotice     `msgpack:"on,omitempty"`
 	OriginQuery  *originQuery      `msgpack:"oq,omitempty"`
 	OriginReply  *originReply      `msgpack:"or,omitempty"`
+	SaveStreams  *streamsToSave    `msgpack:"ss,omitempty"`
+	StreamsSaved *streamsSaved     `msgpack:"sd,omitempty"`
 }
 
 // probe is a failure detector probe, or the reply to one. It carries membership
--- a/internal/edge/publish.go
+++ b/internal/edge/publish.go
@@ -24,14 +24,22 @@
 	}
 	var list []roster.Upstream
 	for _, id := range c.roster.IDs() {
-		u, _ := c.roster.Get(id)
-		if s := c.table.Service(u.Service); s != nil && s.Engine != nil {
+		if u, _ := c.roster.Get(id); c.isEngine(u) {
 			list = append(list, u)
 		}
 	}
 	return list
 }
 
+// isEngine reports whether an upstream is a model engine, by the configuration.
+func (c *control) isEngine(u roster.Upstream) bool {
+	if c.table == nil {
+		return false
+	}
+	s := c.table.Service(u.Service)
+	return s != nil && s.Engine != nil
+}
+
 // engineGroups returns which engines have each base model loaded, by service and
 // model. It covers only services with several base models.
 func (c *control) engineGroups(view *relay.View) map[string]map[string]relay.Group {
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -14,6 +14,7 @@
 	"github.com/tanagerlb/tanagerlb/pkg/engine"
 	"github.com/tanagerlb/tanagerlb/pkg/fence"
 	"github.com/tanagerlb/tanagerlb/pkg/gossip"
+	"github.com/tanagerlb/tanagerlb/pkg/origin"
 	"github.com/tanagerlb/tanagerlb/pkg/roster"
 	"github.com/tanagerlb/tanagerlb/pkg/route"
 	"github.com/tanagerlb/tanagerlb/platform"
@@ -230,6 +231,9 @@
 	}
 	c.logger.Info("upstream: "+change.String(), zap.String("upstream", u.ID), zap.String("service", u.Service),
 		zap.Stringer("address", u.Address), zap.Int64("offset", r.Offset), zap.Int64("born", u.StartTime))
+	if c.isEngine(u) {
+		c.origins.noteVersions(now, now, origin.Origin{Service: u.Service, Software: u.Software})
+	}
 	for _, id := range c.roster.Displaced(u) {
 		c.logger.Info("upstream: another process uses its address", zap.String("upstream", id), zap.Stringer("address", u.Address))
 		c.markMissing(now, id, 0)
--- a/internal/edge/software.go
+++ b/internal/edge/software.go
@@ -70,7 +70,7 @@
 	for _, u := range c.engineUpstreams() {
 		present[origin.Origin{Service: u.Service, Software: u.Software}] = true
 	}
-	c.origins.noteVersions(now, slices.Collect(maps.Keys(present))...)
+	c.origins.noteVersions(now, now, slices.Collect(maps.Keys(present))...)
 	records := map[string]softwareRecord{}
 	for o, seen := range c.origins.lately(now) {
 		v := softwareVersion{Name: o.Software}
@@ -155,6 +155,6 @@
 		if v.Seen > 0 && time.UnixMilli(v.Seen).Before(now) {
 			seen = time.UnixMilli(v.Seen)
 		}
-		c.origins.noteVersions(seen, origin.Origin{Service: service, Software: v.Name})
+		c.origins.noteVersions(now, seen, origin.Origin{Service: service, Software: v.Name})
 	}
 }
--- a/internal/edge/software_test.go
+++ b/internal/edge/software_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
 	"github.com/tanagerlb/tanagerlb/pkg/fence"
 	"github.com/tanagerlb/tanagerlb/pkg/roster"
@@ -20,7 +21,7 @@
 func newSoftwareControl(name string, store *platform.Store, versions ...string) *control {
 	c := newCatchUpControl(name, 0, 0)
 	c.store, c.roster, c.fence, c.software = store, roster.New(), fence.New(), newSoftware()
-	c.origins = newOrigins(c.self, nil, &c.limits.pacer.vms)
+	c.origins = newOrigins(c.self, nil, &c.limits.pacer.vms, newStreamSaver(c.self, store, nil, &c.limits.pacer.vms, zap.NewNop()))
 	c.table = route.New(route.Config{Services: []route.Service{{Name: "lm", Engine: &route.Engine{}}}})
 	for i, version := range versions {
 		c.roster.Apply(roster.Upstream{ID: version, Service: "lm", Software: version, StartTime: 1, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 2, byte(i)}), 9)})
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -54,11 +54,43 @@
 // Note remembers the origin of a stream. A later stream with the same key replaces an earlier one.
 func (t *Table) Note(now time.Time, k Key, o Origin) {
 	t.expire(now)
-	t.streams[k] = stream{origin: o, at: now}
-	t.queue = append(t.queue, queued{key: k, at: now})
+	t.add(Stream{Key: k, Origin: o, Began: now})
+}
+
+// queueFactor times MaxStreams is the length of the queue from which entries of streams that were
+// noted again are removed.
+const queueFactor = 2
+
+func (t *Table) add(s Stream) {
+	t.streams[s.Key] = stream{origin: s.Origin, at: s.Began}
+	t.queue = append(t.queue, queued{key: s.Key, at: s.Began})
 	for len(t.streams) > t.config.MaxStreams {
 		t.dropFirst()
 	}
+	if len(t.queue) > queueFactor*t.config.MaxStreams {
+		t.queue = slices.DeleteFunc(t.queue, func(q queued) bool { return !t.streams[q.key].at.Equal(q.at) })
+	}
+}
+
+// Recall remembers the origin of a stream that was noted at an earlier time, unless a later one
+// with the same key is known.
+func (t *Table) Recall(now time.Time, s Stream) {
+	if now.Sub(s.Began) > t.config.Lifetime || t.streams[s.Key].at.After(s.Began) {
+		return
+	}
+	t.add(s)
+}
+
+// Streams returns the streams of a service that are remembered.
+func (t *Table) Streams(now time.Time, service string) []Stream {
+	t.expire(now)
+	var list []Stream
+	for k, s := range t.streams {
+		if s.origin.Service == service {
+			list = append(list, Stream{Key: k, Origin: s.origin, Began: s.at})
+		}
+	}
+	return list
 }
 
 // Get returns the origin of a stream of a service and the time since it was last noted, and
