--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -129,11 +129,15 @@
 	if slices.ContainsFunc(candidates, func(u roster.Upstream) bool { return !exclude[u.ID] }) {
 		wait = 0
 	}
+	usefulUntil := earlier(x.started.Add(time.Duration(usefulFactor*float64(objective))), x.deadline)
+	if x.call.LastEventID != "" { // the caller has the first events, and waits for the others
+		usefulUntil = x.deadline
+	}
 	return SlotRequest{
 		Service: x.service.Name, Engines: group.Upstreams, IDs: group.IDs, Spare: spare, Exclude: exclude,
 		Name: engine.Name{Model: x.call.Model, Adapter: x.call.Adapter}, PromptParts: x.call.PromptParts,
 		PromptTokens: x.call.PromptTokens, MaxTokens: x.call.MaxTokens, Urgency: x.route.Urgency,
-		Objective: x.started.Add(objective), UsefulUntil: earlier(x.started.Add(time.Duration(usefulFactor*float64(objective))), x.deadline), Deadline: x.deadline,
+		Objective: x.started.Add(objective), UsefulUntil: usefulUntil, Deadline: x.deadline,
 	}, wait
 }
 
