fix(edge): other engines are asked if the preferred ones take no requests

Cause: three engines are asked for an adapter. Change: three more are asked if none of the first three takes requests. Test: TestSubstitutesOfFailingEngines failed before (nobody else was asked).

--- a/internal/edge/dispatcher.go
+++ b/internal/edge/dispatcher.go
@@ -38,8 +38,9 @@
 	// queued is sent again.
 	renewInterval = 250 * time.Millisecond
 	// maxCandidates bounds the number of preferred engines that are tried for one
-	// request.
-	maxCandidates = 3
+	// request, and maxSubstitutes how many more are if none of them takes requests.
+	maxCandidates  = 3
+	maxSubstitutes = 3
 )
 
 // fleetInfo tells which VM is the holder of each engine (the VM that schedules
@@ -107,7 +108,8 @@
 	return relay.Reservation{Slot: slot, Refusal: refusal, Replies: r.tried}
 }
 
-// slot asks the holders of the preferred engines in turn. If there are several
+// slot asks the holders of the preferred engines in turn, and substitutes if all of these are
+// failing or their holders do not answer. If there are several
 // of these engines, the holders may not queue the request yet. If no holder
 // grants a slot, but some refuse only because another engine is likely faster
 // (engine.Busy), slot may also ask the holder of a less busy engine. It then
@@ -117,8 +119,12 @@
 	refusal := engine.Refused{Reason: engine.Closed, Wait: renewInterval}
 	var best *roster.Upstream
 	minWait, loadWait := time.Duration(0), time.Duration(0)
-	candidates := r.preferred(r.request)
+	candidates, sound := r.preferred(r.request), false
 	for i := range candidates {
+		if i == maxCandidates && sound {
+			candidates = candidates[:i]
+			break
+		}
 		u := &candidates[i]
 		v := r.query(ctx, u, len(candidates) == 1, i == 0)
 		switch {
@@ -130,6 +136,7 @@
 			return v.slot, refusal
 		default:
 			refusal = v.refusal
+			sound = sound || refusal.Reason != engine.Unhealthy && refusal.Reason != engine.Closed
 			if refusal.Reason == engine.Busy && (best == nil || refusal.Wait < minWait) {
 				best, minWait, loadWait = u, refusal.Wait, refusal.LoadWait
 			}
@@ -282,10 +289,10 @@
 		key += strconv.FormatUint(request.PromptParts[1].ID, 16)
 	}
 	spread := d.spread(request.Name)
-	top := rank.Top(key, ids, max(spread, maxCandidates))
+	top := rank.Top(key, ids, max(spread, maxCandidates+maxSubstitutes))
 	d.sortByWait(top[:min(spread, len(top))])
 	var preferred []roster.Upstream
-	for _, id := range top[:min(maxCandidates, len(top))] {
+	for _, id := range top[:min(maxCandidates+maxSubstitutes, len(top))] {
 		i, ok := slices.BinarySearchFunc(request.Engines, id, func(u roster.Upstream, id string) int { return strings.Compare(u.ID, id) })
 		if ok {
 			preferred = append(preferred, request.Engines[i])
