fix(engine): loads at a congested weight store are estimated from how long they have taken

Cause: many engines that start empty load from one weight store at once, so that each load takes several times as long. A load that took over twice the configured time did not count as longer, so the estimate stayed short: requests were sent before their adapter was loaded, got 421, used up the limit on retries, and were refused, or went to another engine that loaded the adapter too. Change: the estimate follows the time that a load has taken so far; requests wait for half of that before the next try.

--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -248,6 +248,11 @@
 	// has said that the adapter is not loaded, although its load was expected to have
 	// ended.
 	missingRetry = 60 * time.Millisecond
+	// retryShare is the same as a share of the time that the load has taken so far.
+	retryShare = 0.5
+	// maxLoadTime is how long after its load was ordered an adapter that is not loaded may still
+	// be on its way.
+	maxLoadTime = 5 * time.Second
 	// staleShare is the first part of Config.MaxStale, counted from when the adapter
 	// became stale (staleSince). During it, an engine still admits requests for the
 	// old version. Engines can thus replace the version at different times, not all
@@ -260,7 +265,7 @@
 	// estimate a load. It is above 1 because engines that start empty together all
 	// load at once. Each load that takes longer than estimated multiplies the factor
 	// by coldFactorRise, up to maxColdFactor.
-	coldFactor, coldFactorRise, maxColdFactor = 1.5, 1.15, 4.0
+	coldFactor, coldFactorRise, maxColdFactor = 1.5, 1.15, 8.0
 	// warmFactorRise is what the factor on Config.WarmLoad is multiplied by after
 	// each load that took longer than estimated. Some engines load recently unloaded
 	// adapters no faster than others. Each estimate that is too short costs a retry,
@@ -268,7 +273,7 @@
 	warmFactorRise = 2.0
 	// loadFactorDecay is what the factor on Config.ColdLoad or Config.WarmLoad is
 	// multiplied by after each load that took no longer than estimated.
-	loadFactorDecay = 0.98
+	loadFactorDecay = 0.95
 	// spreadShare is the share of an engine's capacity that the requests for
 	// one adapter may take before they are divided across more engines.
 	spreadShare = 0.1
@@ -459,16 +464,24 @@
 // are held back for missingRetry, and a report is fetched before that.
 func (s *Scheduler) adapterMissing(now time.Time, n Name) {
 	if a, ok := s.adapters[n]; ok && a.state != unloading {
-		if a.state == resident && now.Sub(a.loadStart) < 2*s.config.ColdLoad {
-			s.loadTiming(a.warm).tookLonger()
-		}
-		a.state, a.readyAt = loading, now.Add(missingRetry)
+		s.loadContinues(now, a)
 	}
 	if s.pollAt.IsZero() {
 		s.pollAt = now.Add(missingRetry / 2)
 	}
 }
 
+// loadContinues records that the load of an adapter, which was expected to have ended, has not.
+// Requests for the adapter are held back for missingRetry at least, and longer after a long load.
+func (s *Scheduler) loadContinues(now time.Time, a *adapter) {
+	if elapsed := now.Sub(a.loadStart); !a.served && elapsed < maxLoadTime {
+		s.loadTiming(a.warm).tookLonger(elapsed)
+		a.state, a.readyAt = loading, now.Add(max(missingRetry, time.Duration(retryShare*float64(elapsed))))
+		return
+	}
+	a.state, a.readyAt = loading, now.Add(missingRetry)
+}
+
 // SetLimit sets the limit that the engine names on its requests per second.
 func (s *Scheduler) SetLimit(now time.Time, l pace.Limit) {
 	switch {
--- a/pkg/engine/estimate.go
+++ b/pkg/engine/estimate.go
@@ -175,8 +175,11 @@
 
 func (t *loadTiming) duration() time.Duration { return time.Duration(t.factor * float64(t.expected)) }
 
-// tookLonger records a load that took longer than estimated.
-func (t *loadTiming) tookLonger() { t.factor = min(t.factor*t.rise, t.maxFactor) }
+// tookLonger records a load that took longer than estimated, and has not ended after the given
+// time.
+func (t *loadTiming) tookLonger(elapsed time.Duration) {
+	t.factor = min(max(t.factor, float64(elapsed)/float64(t.expected))*t.rise, t.maxFactor)
+}
 
 // inTime records a load that took no longer than estimated.
 func (t *loadTiming) inTime() { t.factor = max(t.factor*loadFactorDecay, 1) }
--- a/pkg/engine/report.go
+++ b/pkg/engine/report.go
@@ -46,7 +46,7 @@
 			s.adapters[n] = a
 		}
 		if !now.Before(a.readyAt) {
-			a.state, a.readyAt = loading, now.Add(missingRetry)
+			s.loadContinues(now, a)
 		}
 	}
 	for n, a := range s.adapters {
