fix(relay): an engine that has not loaded the adapter yet is tried once more

Cause: a request that came before its adapter was loaded (421) went to another engine, which had to load the adapter too: more loads at a congested weight store, and one more send that is likely to come too early. Test: TestEngineThatLoadsTheAdapterIsTriedOnceMore failed before (the other engine was asked).

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -187,6 +187,7 @@
 	run         *sentRun        // last run
 	mayHaveRun  bool            // an upstream may have run the request
 	headersSent bool            // status and headers were written to the caller
+	loads       string          // engine that had not loaded the adapter yet and is tried once more; "" before
 	lastID      string          // id of the last event written to the caller
 	software    *string         // version of the engines' software at which the stream may go on; nil for any
 	suspects    []crash.Cause   // nil before the first call of causes
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -72,7 +72,9 @@
 		if !retry {
 			return
 		}
-		exclude[slot.Upstream.ID] = true
+		if slot.Upstream.ID != x.loads {
+			exclude[slot.Upstream.ID] = true
+		}
 	}
 }
 
@@ -248,9 +250,19 @@
 		x.refuse("engine did not run it", retryAfter)
 		return false
 	}
+	// The engine is most likely still loading the adapter, and is tried once more: another one
+	// would have to load it too.
+	if x.loads == "" && status == http.StatusMisdirectedRequest && x.call.Adapter != "" {
+		x.loads = slot.Upstream.ID
+	} else {
+		x.loads = noEngine
+	}
 	return true
 }
 
+// noEngine is the value of exchange.loads after an engine was tried once more.
+const noEngine = "-"
+
 // handleBroken handles an answer that is invalid or breaks off. It reports
 // whether to try another engine.
 func (x *exchange) handleBroken(slot *Slot, reason string) bool {
