--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -11,9 +11,11 @@
 )
 
 const (
-	// groupSize is the number of VMs in a group. One VM of each group forwards the
-	// records that it reads from the store to the others.
-	groupSize = 8
+	// groupSize and largeGroupSize are the numbers of VMs in a group, the second one in a fleet of
+	// largeFleetSize or more. One VM of each group forwards the records that it reads from the
+	// store to the others.
+	groupSize      = 8
+	largeGroupSize = 24
 	// largeFleetSize is the number of VMs from which on, if Bounds.Fenced is set,
 	// the operator and fleet topics are forwarded too, not only the upstreams
 	// topic. Such a fleet has several forwarders: a VM whose own forwarder missed
@@ -43,10 +45,14 @@
 	names, live := c.liveVMs()
 	slices.Sort(names)
 	self := slices.Index(names, c.self.Name)
-	r := role{forwards: self%groupSize == 0 && !c.leaving, large: len(names) >= largeFleetSize && c.settings.Bounds.Fenced}
+	size := groupSize
+	if len(names) >= largeFleetSize {
+		size = largeGroupSize
+	}
+	r := role{forwards: self%size == 0 && !c.leaving, large: len(names) >= largeFleetSize && c.settings.Bounds.Fenced}
 	r.follows = r.large && !r.forwards
 	if r.forwards {
-		for _, name := range names[self+1 : min(self+groupSize, len(names))] {
+		for _, name := range names[self+1 : min(self+size, len(names))] {
 			r.members = append(r.members, live[name].Peer)
 		}
 	}
