--- a/internal/edge/dispatcher.go
+++ b/internal/edge/dispatcher.go
@@ -108,54 +108,31 @@
 	return relay.Reservation{Slot: slot, Refusal: refusal, Replies: r.tried}
 }
 
-// slot asks the holders of the preferred engines in turn, and substitutes if all of these are
-// failing or their holders do not answer. If there are several
+// slot asks the holders of the preferred engines in turn. If there are several
 // of these engines, the holders may not queue the request yet. If no holder
 // grants a slot, but some refuse only because another engine is likely faster
 // (engine.Busy), slot may also ask the holder of a less busy engine. It then
 // asks the holder of the engine with the shortest wait for a final decision,
 // which may be to queue the request.
 func (r *reservationAttempt) slot(ctx context.Context) (*relay.Slot, engine.Refused) {
-	refusal := engine.Refused{Reason: engine.Closed, Wait: renewInterval}
-	var best *roster.Upstream
-	minWait, loadWait := time.Duration(0), time.Duration(0)
-	candidates, sound := r.preferred(r.request), false
-	for i := range candidates {
-		if i == maxCandidates && sound {
-			candidates = candidates[:i]
-			break
-		}
-		u := &candidates[i]
-		v := r.query(ctx, u, len(candidates) == 1, i == 0)
-		switch {
-		case v == nil:
-			if slot := r.directSlot(ctx, r.known, u, r.request); slot != nil {
-				return slot, refusal
-			}
-		case v.slot != nil:
-			return v.slot, refusal
-		default:
-			refusal = v.refusal
-			sound = sound || refusal.Reason != engine.Unhealthy && refusal.Reason != engine.Closed
-			if refusal.Reason == engine.Busy && (best == nil || refusal.Wait < minWait) {
-				best, minWait, loadWait = u, refusal.Wait, refusal.LoadWait
-			}
-		}
+	slot, best, refusal := r.askPreferred(ctx)
+	if slot != nil {
+		return slot, refusal
 	}
-	if best == nil {
+	if best.upstream == nil {
 		if slot := r.anyDirectSlot(ctx); slot != nil {
 			return slot, refusal
 		}
 		return r.slotWithLoad(ctx, refusal)
 	}
-	if u := r.lessBusyEngine(candidates, minWait, loadWait); u != nil {
+	if u := r.lessBusyEngine(best); u != nil {
 		if v := r.query(ctx, u, false, false); v != nil && v.slot != nil {
 			return v.slot, refusal
-		} else if v != nil && v.refusal.Reason == engine.Busy && v.refusal.Wait < minWait {
-			best = u
+		} else if v != nil && v.refusal.Reason == engine.Busy && v.refusal.Wait < best.wait {
+			best.upstream = u
 		}
 	}
-	v := r.query(ctx, best, true, false)
+	v := r.query(ctx, best.upstream, true, false)
 	switch {
 	case v == nil:
 		r.lost = true
@@ -168,6 +145,44 @@
 	return r.slotWithLoad(ctx, refusal)
 }
 
+// busyEngine is the engine with the shortest wait of those that were asked.
+type busyEngine struct {
+	upstream       *roster.Upstream // nil if none is only busy
+	wait, loadWait time.Duration
+	asked          []roster.Upstream
+}
+
+// askPreferred asks the holders of the preferred engines in turn, and of substitutes if none of the
+// preferred ones takes requests. It returns a slot, or the engine with the shortest wait.
+func (r *reservationAttempt) askPreferred(ctx context.Context) (*relay.Slot, busyEngine, engine.Refused) {
+	refusal := engine.Refused{Reason: engine.Closed, Wait: renewInterval}
+	var best busyEngine
+	candidates, sound := r.preferred(r.request), false
+	for i := range candidates {
+		if i == maxCandidates && sound {
+			break
+		}
+		u := &candidates[i]
+		best.asked = candidates[:i+1]
+		v := r.query(ctx, u, len(candidates) == 1, i == 0)
+		switch {
+		case v == nil:
+			if slot := r.directSlot(ctx, r.known, u, r.request); slot != nil {
+				return slot, best, refusal
+			}
+		case v.slot != nil:
+			return v.slot, best, refusal
+		default:
+			refusal = v.refusal
+			sound = sound || refusal.Reason != engine.Unhealthy && refusal.Reason != engine.Closed
+			if refusal.Reason == engine.Busy && (best.upstream == nil || refusal.Wait < best.wait) {
+				best.upstream, best.wait, best.loadWait = u, refusal.Wait, refusal.LoadWait
+			}
+		}
+	}
+	return nil, best, refusal
+}
+
 // slotWithLoad asks for a slot at the spare engine, which first loads the base
 // model. It is called when the engines that have the model loaded have no
 // slot in time.
@@ -206,16 +221,14 @@
 	return nil
 }
 
-// lessBusyEngine returns a less busy engine outside the candidates, or nil.
-// Since that engine may have to load the adapter, lessBusyEngine returns one
-// only if minWait is more than maxWaitShare of the time left to the objective.
-// minWait is the shortest wait at the candidates, including loadWait, the time
-// to load the adapter there.
-func (r *reservationAttempt) lessBusyEngine(candidates []roster.Upstream, minWait, loadWait time.Duration) *roster.Upstream {
-	if minWait <= time.Duration(maxWaitShare*float64(time.Until(r.request.Objective))) {
+// lessBusyEngine returns a less busy engine than the best of those that were asked, or nil.
+// Since that engine may have to load the adapter, lessBusyEngine returns one only if the wait at
+// the best one is more than maxWaitShare of the time left to the objective.
+func (r *reservationAttempt) lessBusyEngine(best busyEngine) *roster.Upstream {
+	if best.wait <= time.Duration(maxWaitShare*float64(time.Until(r.request.Objective))) {
 		return nil
 	}
-	return r.pickLessBusy(candidates, minWait-loadWait)
+	return r.pickLessBusy(best.asked, best.wait-best.loadWait)
 }
 
 // pickLessBusy returns an engine whose recently reported wait is below half of
--- a/internal/edge/eras.go
+++ b/internal/edge/eras.go
@@ -70,6 +70,7 @@
 		return true, false
 	}
 	switch topic {
+	case platform.StreamsTopic: // listed on demand only
 	case platform.UpstreamsTopic:
 		c.upstreamsOffset = 0
 	case platform.OperatorTopic:
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -107,6 +107,7 @@
 // forwarded records, as the peer may have read them some time ago.
 func (c *control) advanceOffset(now time.Time, topic platform.Topic, next int64, began time.Duration) {
 	switch topic {
+	case platform.StreamsTopic: // listed on demand only
 	case platform.UpstreamsTopic:
 		c.upstreamsOffset = max(c.upstreamsOffset, next)
 		c.fresh.note(began)
@@ -147,6 +148,7 @@
 	for _, r := range records {
 		c.storeNewest(topic, r)
 		switch topic {
+		case platform.StreamsTopic: // listed on demand only
 		case platform.OperatorTopic:
 			c.applyOperator(now, publishedAt, r)
 			changed = append(changed, r)
--- a/internal/edge/saver_test.go
+++ b/internal/edge/saver_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -155,7 +156,7 @@
 			f := newOriginFleet(t, c.vms)
 			f.noteVersions(c.versions...)
 			for i := range 500 {
-				f.list[i%c.vms].Begin(time.Now(), fmt.Sprint(i), softwareV1)
+				f.list[i%c.vms].Begin(time.Now(), strconv.Itoa(i), softwareV1)
 			}
 			f.saveAll(t, time.Now())
 			is.Equal(f.emulated.Appends(), c.calls)
@@ -172,7 +173,7 @@
 	o := f.list[0]
 	o.noteVersions(time.Now(), time.Now(), softwareV1, softwareV2)
 	for i := range 3 {
-		o.Begin(time.Now(), fmt.Sprint(i), softwareV1)
+		o.Begin(time.Now(), strconv.Itoa(i), softwareV1)
 		f.saveAll(t, time.Now())
 	}
 	old, err := encodeStreams(time.Now().Add(-2*originLifetime), []origin.Stream{{Origin: softwareV1, Began: time.Now().Add(-2 * originLifetime)}})
@@ -224,12 +225,12 @@
 	o := f.list[0]
 	f.noteVersions(softwareV1, softwareV2)
 	for i := range 2 * maxOrigins {
-		o.Begin(time.Now(), fmt.Sprint(i), softwareV1)
+		o.Begin(time.Now(), strconv.Itoa(i), softwareV1)
 	}
 	f.saveAll(t, time.Now())
 	f.restart(o)
 	f.noteVersions(softwareV1, softwareV2)
-	is.True(o.Find(t.Context(), "lm", fmt.Sprint(2*maxOrigins-1), time.Minute).Known)
+	is.True(o.Find(t.Context(), "lm", strconv.Itoa(2*maxOrigins-1), time.Minute).Known)
 	is.True(!o.Find(t.Context(), "lm", "0", time.Minute).Known)
 	is.True(o.table.Len() <= maxOrigins)
 }
--- a/pkg/engine/congestion_test.go
+++ b/pkg/engine/congestion_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -159,7 +160,7 @@
 				for !next.After(now) {
 					n := name(fmt.Sprint("a", popular.Uint64()))
 					number++
-					r := request(fmt.Sprint(number), n.Adapter, now)
+					r := request(strconv.Itoa(number), n.Adapter, now)
 					r.UsefulUntil = r.Deadline
 					e := engines[rank.First(n.Adapter, ids)]
 					e.requests++
--- a/pkg/origin/backlog_test.go
+++ b/pkg/origin/backlog_test.go
@@ -11,7 +11,7 @@
 
 func TestBacklog(t *testing.T) {
 	start := time.Unix(1000, 0)
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	at := start.Add
 	key := origin.KeyOf
 	stream := func(id, software string, began time.Duration) origin.Stream {
 		return origin.Stream{Key: key(id), Origin: origin.Origin{Service: "lm", Software: software}, Began: at(began)}
