fix(edge): a malformed datagram does not end a VM

Cause: the msgpack library allocates a slice by the length that the data announces. A datagram of 30 bytes that announces 3.7 billion elements takes 89 GB, so that the process ends (the users' list: one malformed message took a whole process down). Change: it is first checked that all announced elements are there; the same for records of streams and for what peers send.

--- a/internal/edge/packet.go
+++ b/internal/edge/packet.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"net/netip"
@@ -142,6 +143,18 @@
 // packetBytes bounds the size of a datagram, to avoid IP fragmentation.
 const packetBytes = 1400
 
+// decode decodes what another process has encoded by msgpack. It first checks that all elements that
+// the data announces are there: the library allocates slices by their announced length.
+func decode(data []byte, to any) error {
+	if err := msgpack.NewDecoder(bytes.NewReader(data)).Skip(); err != nil {
+		return fmt.Errorf("incomplete message: %w", err)
+	}
+	if err := msgpack.Unmarshal(data, to); err != nil {
+		return fmt.Errorf("decode message: %w", err)
+	}
+	return nil
+}
+
 // transport sends and receives packets over UDP.
 type transport struct {
 	conn   *net.UDPConn
@@ -177,7 +190,7 @@
 			return from, packet{}, fmt.Errorf("receive from peers: %w", err)
 		}
 		var p packet
-		if err := msgpack.Unmarshal(buffer[:n], &p); err != nil {
+		if err := decode(buffer[:n], &p); err != nil {
 			t.logger.Debug("peer: dropped a malformed packet", zap.Stringer("from", from), zap.Error(err))
 			continue
 		}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return err
 	}
-	if err := msgpack.Unmarshal(data, content); err != nil {
+	if err := decode(data, content); err != nil {
 		return fmt.Errorf("decode a peer's response: %w", err)
 	}
 	return nil
--- a/internal/edge/saver.go
+++ b/internal/edge/saver.go
@@ -134,7 +134,7 @@
 		return nil, time.Time{}, fmt.Errorf("%w: %d bytes", errStreamRecord, len(value))
 	}
 	var saved savedStreams
-	if err := msgpack.Unmarshal(value, &saved); err != nil {
+	if err := decode(value, &saved); err != nil {
 		return nil, time.Time{}, fmt.Errorf("%w: %w", errStreamRecord, err)
 	}
 	if saved.Format != streamFormat {
