test: a proxy's port can be opened again while processes start

Ruled out: Close returning early (500 reopenings without starts pass), another socket with that address (sources are 127.0.0.1). syscall.ForkLock is not enough, as vfork ends before the descriptors are closed. Change: the listener is shut down before it is closed, which ends it for all holders.

--- a/internal/testlib/proxy.go
+++ b/internal/testlib/proxy.go
@@ -6,7 +6,6 @@
 package testlib
 
 import (
-	"context"
 	"net"
 	"net/netip"
 	"os"
@@ -14,6 +13,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Mode selects what a Proxy does with connections.
@@ -33,7 +34,7 @@
 	t        testing.TB
 	address  netip.AddrPort
 	mu       sync.Mutex
-	listener net.Listener // nil in mode Down
+	listener *net.TCPListener // nil in mode Down
 	target   netip.AddrPort
 	mode     Mode
 	delay    time.Duration
@@ -48,20 +49,24 @@
 
 // proxyAddress returns an address for a proxy that no other one has: another listener, or a
 // connection that is opened, may take the port of a proxy in mode Down.
-func proxyAddress() string {
+func proxyAddress() netip.AddrPort {
 	const (
 		first, networks = 2, 18 // second bytes of the addresses; the VMs of the soak have others
 		hosts           = 250
 	)
 	n := proxies.Add(1)
 	address := netip.AddrFrom4([4]byte{127, byte(first + os.Getpid()%networks), byte(n / hosts % hosts), byte(1 + n%hosts)})
-	return netip.AddrPortFrom(address, 0).String()
+	return netip.AddrPortFrom(address, 0)
+}
+
+func listenTCP(address netip.AddrPort) (*net.TCPListener, error) {
+	return net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address)) //nolint:wrapcheck // the callers name what it is for
 }
 
 // NewProxy starts a proxy that runs until the test ends.
 func NewProxy(t testing.TB, target netip.AddrPort) *Proxy {
 	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", proxyAddress())
+	listener, err := listenTCP(proxyAddress())
 	if err != nil {
 		t.Fatalf("listen for proxy: %v", err)
 	}
@@ -84,8 +89,7 @@
 	p.mode = mode
 	switch {
 	case mode == Down && p.listener != nil:
-		_ = p.listener.Close()
-		p.listener = nil
+		p.closePort()
 	case mode != Down && p.listener == nil:
 		p.listen()
 	}
@@ -135,9 +139,19 @@
 	return p.free.Sub(now)
 }
 
+// closePort closes the port. A process that is being started shares the listener for a moment, so
+// that closing it here alone would leave the port open.
+func (p *Proxy) closePort() {
+	if raw, err := p.listener.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = unix.Shutdown(int(fd), unix.SHUT_RDWR) }) // the listener is closed in any case
+	}
+	_ = p.listener.Close()
+	p.listener = nil
+}
+
 // listen opens the port again that mode Down closed.
 func (p *Proxy) listen() {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", p.address.String())
+	listener, err := listenTCP(p.address)
 	if err != nil {
 		p.t.Errorf("listen again for proxy: %v", err)
 		return
