perf(edge): one VM reads the store for a large fleet at rest

Change: the role is looked at twice a second, listed VMs count, forwarders read one after the other and send what they read to each other, which pass it on. Tests: TestVMsThatAreListedCountForRoles (failed before: the VM took itself for a forwarder), TestRoleIsSetWithoutReads, TestForwardersReadInTurn, TestForwarderRelaysWhatAnotherOneRead, TestLargeFleetAtRestLeavesTheStoreAlone (40 processes: 55 calls in 10 s before, 27 after). The expected roles of the fourth and the ninth forwarder change, as those follow the first three now.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -183,6 +183,8 @@
 	started         time.Time
 	mostHeard       int       // largest number of VMs that this VM has heard of at a time, this one included
 	aloneSince      time.Time // time since which no other live VM is known
+	role            role      // of this VM, as it was found last
+	roleAt          time.Time // time of the last look at it
 	claimCheckedAt  time.Time // time of the last check for engines to claim
 	reconcileAfter  time.Time // time before which changes of other VMs and upstreams are collected
 	reconcileDue    bool      // such changes were made since the last reconciliation
@@ -482,6 +484,7 @@
 		c.logger.Info("peer: "+u.Status.String(), zap.String("vm", u.VM.Name), zap.Int64("boot", u.VM.Boot))
 	}
 	c.gossip.PruneDead(now, deadRetention)
+	c.reviewRole(now)
 	c.checkBehind(ctx, now)
 	c.expirePoison(now)
 	c.reviewCrashes(ctx, now)
--- a/internal/edge/feed.go
+++ b/internal/edge/feed.go
@@ -22,6 +22,7 @@
 	logger         *zap.Logger
 	wait           time.Duration // longest wait of a read for new records
 	interval       time.Duration // interval between reads
+	readShare      float64       // share of the interval after which this VM reads again; 0 for all of it
 	mu             sync.Mutex
 	cancel         context.CancelFunc        // cancels the read or sleep in progress
 	interruptible  bool                      // the read or sleep in progress may be canceled to read again
@@ -119,15 +120,24 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
-	case f.forwards.Load():
-		return time.Duration(forwarderShare * float64(f.interval))
+	case f.readShare > 0:
+		return time.Duration(f.readShare * float64(f.interval))
 	case f.follows.Load():
 		return max(f.interval, followInterval)
+	case f.forwards.Load():
+		return time.Duration(forwarderShare * float64(f.interval))
 	default:
 		return f.interval
 	}
 }
 
+// setReadShare sets the share of the interval after which this VM reads again.
+func (f *feed) setReadShare(share float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.readShare = share
+}
+
 // setInterval sets the interval between reads.
 func (f *feed) setInterval(interval time.Duration) {
 	f.mu.Lock()
@@ -135,10 +145,13 @@
 	f.interval = interval
 }
 
-// forwarderShare is the share of the interval after which a VM that forwards
-// records reads again. As it is less than 1, forwarded records arrive before the
-// members of the group read the store themselves.
-const forwarderShare = 0.8
+// forwarderShare is the share of the interval after which the first VM that forwards records
+// reads again, and forwarderStep is what each of the next storeReaders adds. As it is less than
+// 1, forwarded records arrive before the members of the group read the store themselves.
+const (
+	forwarderShare = 0.8
+	forwarderStep  = 0.05
+)
 
 // listing reports whether the topic is to be listed, or is being listed.
 func (f *feed) listing() bool { return f.offset() < 0 }
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -25,6 +25,11 @@
 	// reads the operator and fleet topics itself. It is the longest time in which the
 	// platform's operators expect a change to take effect.
 	followInterval = 2 * time.Second
+	// roleInterval is the time between two looks at this VM's role.
+	roleInterval = 500 * time.Millisecond
+	// storeReaders is the number of forwarders that read the operator and fleet topics in a large
+	// fleet: a read that waits may be cut off unnoticed for seconds.
+	storeReaders = 3
 	// maxForwardBytes bounds the total size of the keys and values in one
 	// datagram. The other 300 bytes of packetBytes are left for the encoding.
 	maxForwardBytes = packetBytes - 300
@@ -33,61 +38,118 @@
 // role tells whether a VM forwards records to the other VMs of its group, or
 // receives records from one of them.
 type role struct {
-	members  []netip.AddrPort // addresses to which it forwards
+	members  []netip.AddrPort // addresses to which it forwards what it reads and what other forwarders send
+	peers    []netip.AddrPort // addresses of the other forwarders, to which it forwards what it reads; in a large fleet only
+	rank     int              // number of forwarders before this one
 	forwards bool
 	follows  bool // another VM forwards the operator and fleet topics to it
 	large    bool // all topics are forwarded; see largeFleetSize
 }
 
 // currentRole returns the role of this VM. The live VMs are sorted by name and
-// divided into groups; the first VM of each group forwards records to the others.
+// divided into groups; the first VM of each group forwards records to the others. A VM that is
+// listed in the store counts as live until probes fail: all VMs may have just started.
 func (c *control) currentRole() role {
-	names, live := c.liveVMs()
+	names, live := []string{c.self.Name}, map[string]gossip.VM{}
+	for _, m := range c.gossip.Members() {
+		if m.Status == gossip.Listed || m.Status.Reachable() {
+			names = append(names, m.VM.Name)
+			live[m.VM.Name] = m.VM
+		}
+	}
 	slices.Sort(names)
 	self := slices.Index(names, c.self.Name)
 	size := groupSize
 	if len(names) >= largeFleetSize {
 		size = largeGroupSize
 	}
-	r := role{forwards: self%size == 0 && !c.leaving, large: len(names) >= largeFleetSize && c.settings.Bounds.Fenced}
-	r.follows = r.large && !r.forwards
-	if r.forwards {
-		for _, name := range names[self+1 : min(self+size, len(names))] {
+	r := role{forwards: self%size == 0 && !c.leaving, rank: self / size, large: len(names) >= largeFleetSize && c.settings.Bounds.Fenced}
+	r.follows = r.large && (!r.forwards || r.rank >= storeReaders)
+	if !r.forwards {
+		return r
+	}
+	for i, name := range names {
+		switch {
+		case i == self:
+		case i/size == r.rank:
 			r.members = append(r.members, live[name].Peer)
+		case i%size == 0 && r.large:
+			r.peers = append(r.peers, live[name].Peer)
 		}
 	}
 	return r
 }
 
-// forward sets the current role in the feeds and, if this VM forwards, sends the
-// records of a read to the other members of its group. A member that receives
-// nothing reads the store itself.
-func (c *control) forward(e recordsRead, records []platform.Record, grace time.Duration) {
-	r := c.currentRole()
+// readShare returns the share of the interval after which a VM reads the upstreams again. The
+// forwarders read one after the other, and those that hear from one postpone their own read.
+func (r role) readShare() float64 {
+	switch {
+	case !r.forwards:
+		return 1
+	case r.large:
+		return forwarderShare + min(float64(r.rank), storeReaders)*forwarderStep
+	default:
+		return forwarderShare
+	}
+}
+
+// reviewRole sets the current role in the feeds, also while nothing is read that could show it.
+func (c *control) reviewRole(now time.Time) {
+	if now.Sub(c.roleAt) >= roleInterval {
+		c.roleAt = now
+		c.setRole(c.currentRole())
+	}
+}
+
+// setRole sets the role of this VM in the feeds.
+func (c *control) setRole(r role) {
+	c.role = r
 	for t, f := range c.feeds {
-		f.forwards.Store(r.forwards && (r.large || t == platform.UpstreamsTopic))
-		f.follows.Store(r.follows && t != platform.UpstreamsTopic)
+		upstreams := t == platform.UpstreamsTopic
+		f.forwards.Store(r.forwards && (upstreams || r.large && !r.follows))
+		f.follows.Store(r.follows && !upstreams)
 		f.followsRole.Store(r.follows)
-		f.slowRetry.Store(r.follows)
+		if upstreams {
+			f.setReadShare(r.readShare())
+		} else {
+			f.slowRetry.Store(r.follows)
+		}
 	}
+}
+
+// forward sets the current role in the feeds and, if this VM forwards, sends the
+// records of a read to the other members of its group, and to the other forwarders. A VM that
+// receives nothing reads the store itself.
+func (c *control) forward(e recordsRead, records []platform.Record, grace time.Duration) {
+	r := c.currentRole()
+	c.setRole(r)
 	if !r.forwards || (e.topic != platform.UpstreamsTopic && !r.large) {
 		return
 	}
+	to := slices.Concat(r.members, r.peers)
 	for _, l := range splitRecords(e, records) {
 		l.Grace, l.Age = grace, sinceBoot()-e.began
-		c.sendAll(r.members, l)
+		c.sendAll(to, l)
 	}
 	if e.topic != platform.UpstreamsTopic || !r.large {
 		return
 	}
-	// Even an empty batch is useful: it makes the members postpone their own reads.
+	// Even an empty batch is useful: it makes the others postpone their own reads.
 	for t, next := range map[platform.Topic]int64{platform.OperatorTopic: c.operatorOffset, platform.FleetTopic: c.fleetEnd} {
-		if !c.feeds[t].down.Load() {
-			c.sendAll(r.members, forwardedRecords{Topic: t, Era: c.storeEra.topics[t], From: next, Next: next})
+		if f := c.feeds[t]; !f.down.Load() && !f.follows.Load() {
+			c.sendAll(to, forwardedRecords{Topic: t, Era: c.storeEra.topics[t], From: next, Next: next})
 		}
 	}
 }
 
+// relay sends records that another forwarder has read to the other members of this VM's group.
+func (c *control) relay(l forwardedRecords, received time.Duration) {
+	if !l.Relayed && c.role.forwards && c.role.large {
+		l.Relayed, l.Age = true, l.Age+sinceBoot()-received
+		c.sendAll(c.role.members, l)
+	}
+}
+
 func (c *control) sendAll(members []netip.AddrPort, l forwardedRecords) {
 	for _, to := range members {
 		c.transport.send(to, packet{Records: &l})
@@ -143,6 +205,7 @@
 	if !c.acceptEra(now, l.Topic, l.Era, "peer") {
 		return
 	}
+	received := sinceBoot()
 	if !f.skipTo(now.Add(-l.Age), l.Era, l.From, l.Next) {
 		switch {
 		case !f.follows.Load() || !f.hasGap(l.From):
@@ -153,6 +216,7 @@
 		}
 		return
 	}
+	c.relay(*l, received)
 	c.applyRecords(now, l.Topic, l.Records, readOrigin{recovered: l.Recovered, grace: l.Grace})
 	c.advanceOffset(now, l.Topic, l.Next, 0)
 	if l.Topic == platform.UpstreamsTopic {
--- a/internal/edge/packet.go
+++ b/internal/edge/packet.go
@@ -113,6 +113,7 @@
 	Recovered bool              `msgpack:"a,omitempty"` // earlier reads of the sender had failed
 	Grace     time.Duration     `msgpack:"g,omitempty"` // how long upstreams whose entries are gone have to register again
 	Age       time.Duration     `msgpack:"d,omitempty"` // time since the start of the read
+	Relayed   bool              `msgpack:"l,omitempty"` // another VM than the one that read them sends them
 	Records   []platform.Record `msgpack:"r,omitempty"`
 }
 
