perf(edge): one call at a time finds out whether the store answers; records come from peers

Change: a circuit breaker for all calls of a VM; a VM that hears from others does not try sooner than it would read; what was forwarded last is sent again with what follows, and what is missing is fetched from the peer that told of it, as for the operators' topic. VMs that are suspected keep their place in the groups.

--- a/internal/edge/behind.go
+++ b/internal/edge/behind.go
@@ -26,11 +26,10 @@
 
 // behind tells that peers have read more of the operator topic than this VM.
 type behind struct {
-	told     []toldPosition // positions beyond the one of this VM, in rising order
-	peer     netip.AddrPort // the last peer that told the newest one
-	toldAt   time.Time      // when it did
-	asked    time.Time      // when this VM last started its own read again
-	fetching bool           // records are being fetched from a peer
+	told   []toldPosition // positions beyond the one of this VM, in rising order
+	peer   netip.AddrPort // the last peer that told the newest one
+	toldAt time.Time      // when it did
+	asked  time.Time      // when this VM last started its own read again
 }
 
 // toldPosition is a position up to which a peer has read the operator topic.
@@ -104,14 +103,14 @@
 	if len(c.behind.told) == 0 {
 		return
 	}
-	if now.Sub(c.behind.asked) > behindTime && !c.behind.fetching {
+	if now.Sub(c.behind.asked) > behindTime && !c.fetching[platform.OperatorTopic] {
 		c.logger.Info("config: a peer has read more of the operator topic; reading again", zap.Int64("next", c.operatorOffset),
 			zap.Int64("peer", c.behind.told[len(c.behind.told)-1].position.Offset), zap.Duration("behind", c.behind.age(now)))
 		c.behind.asked = now
 		c.feeds[platform.OperatorTopic].refresh()
 	}
 	if c.behind.age(now) >= catchUpDelay {
-		c.catchUp(ctx, c.behind.peer)
+		c.catchUp(ctx, platform.OperatorTopic, c.behind.peer)
 	}
 }
 
--- a/internal/edge/bench_test.go
+++ b/internal/edge/bench_test.go
@@ -30,6 +30,7 @@
 func newFleetControl(vms, engines int) *control {
 	self := gossip.VM{Name: "vm0", Boot: 1}
 	c := &control{
+		fetching: map[platform.Topic]bool{}, recent: newRecent(),
 		limits: newLimits(newPacer(self, nil, nil)), self: self, logger: zap.NewNop(), roster: roster.New(), fence: fence.New(), versions: map[engine.Name]engine.Version{},
 		held: map[string]*heldEngine{}, gossip: gossip.New(gossip.Config{MaxUpdates: 6, MaxTickGap: time.Hour, ProbeTimeout: time.Hour}, self),
 		newest: map[platform.Topic]map[string]platform.Record{}, poison: newPoison(), metrics: metric.New(),
--- a/internal/edge/catchup.go
+++ b/internal/edge/catchup.go
@@ -20,9 +20,8 @@
 )
 
 const (
-	// recordsPath is the HTTP path at which a VM serves what it has read of the operator topic
-	// to VMs that have read less. The store would send them each version of a large
-	// configuration whole.
+	// recordsPath is the HTTP path at which a VM serves what it has read of a topic to VMs that
+	// have read less. The store would send them each version of a large configuration whole.
 	recordsPath = "/records"
 	// headerBase names the record that a response was compressed against.
 	headerBase = "Base"
@@ -76,9 +75,10 @@
 	return e.list[i]
 }
 
-// recordsRequest asks the control loop for the records of the operator topic from an offset
-// on, of an era; or for all of them if the offset is negative.
+// recordsRequest asks the control loop for the records of a topic from an offset on, of an era; or
+// for all of them if the offset is negative, which only the operator topic allows.
 type recordsRequest struct {
+	topic     platform.Topic
 	era, from int64
 	base      uint64 // hash of a large record that the peer has; 0 for none
 	reply     chan<- lentRecords
@@ -93,6 +93,7 @@
 
 // recordsFetched carries the records that a peer has read, or the error.
 type recordsFetched struct {
+	topic   platform.Topic
 	from    netip.AddrPort
 	records forwardedRecords
 	key     lentKey // of the response, for the peers that ask for the same
@@ -103,9 +104,18 @@
 func (recordsRequest) event() {}
 func (recordsFetched) event() {}
 
-// lendRecords replies with the records that a peer asks for. Records that a later one with
-// their key has replaced are left out.
+// lendRecords replies with the records that a peer asks for. Records of the operator topic that a
+// later one with their key has replaced are left out.
 func (c *control) lendRecords(r recordsRequest) {
+	if r.topic != platform.OperatorTopic {
+		l := forwardedRecords{Topic: r.topic, Era: r.era, From: r.from}
+		var known bool
+		if recent, ok := c.recent[r.topic]; ok && r.era == c.storeEra.newest {
+			l.Records, l.Next, known = recent.since(r.era, r.from)
+		}
+		r.reply <- lentRecords{records: l, known: known}
+		return
+	}
 	era, listed := c.storeEra.topics[platform.OperatorTopic]
 	if !listed || era != c.storeEra.newest || (r.from >= 0 && r.era != era) || r.from > c.operatorOffset {
 		r.reply <- lentRecords{}
@@ -121,7 +131,7 @@
 	r.reply <- lentRecords{records: l, known: true, base: c.editions.get(r.base)}
 }
 
-// lender serves the records of the operator topic to peers.
+// lender serves records to peers.
 type lender struct {
 	post   func(event)
 	logger *zap.Logger
@@ -188,11 +198,15 @@
 	era, errEra := strconv.ParseInt(q.Get("era"), 10, 64)
 	from, errFrom := strconv.ParseInt(q.Get("from"), 10, 64)
 	base, errBase := strconv.ParseUint(q.Get("base"), 16, 64)
-	return recordsRequest{era: era, from: from, base: base}, errors.Join(errEra, errFrom, errBase)
+	topic := platform.Topic(cmp.Or(q.Get("topic"), string(platform.OperatorTopic))) // earlier versions name none
+	return recordsRequest{topic: topic, era: era, from: from, base: base}, errors.Join(errEra, errFrom, errBase)
 }
 
-// encode returns the compressed records. Most peers ask for the same ones.
+// encode returns the compressed records. Most peers ask for the same ones of the operator topic.
 func (l *lender) encode(lent lentRecords) ([]byte, error) {
+	if lent.records.Topic != platform.OperatorTopic {
+		return pack(lent.records, nil)
+	}
 	key := newLentKey(lent.records, lent.base)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -214,37 +228,41 @@
 	l.last, l.body = key, body
 }
 
-// catchUp fetches records of the operator topic from a peer that has read more than this VM,
-// unless that is under way.
-func (c *control) catchUp(ctx context.Context, from netip.AddrPort) {
-	if c.behind.fetching {
+// catchUp fetches records of a topic from a peer that has read more than this VM, unless that is
+// under way.
+func (c *control) catchUp(ctx context.Context, topic platform.Topic, from netip.AddrPort) {
+	if c.fetching[topic] {
 		return
 	}
-	c.behind.fetching = true
-	era, offset := c.storeEra.topics[platform.OperatorTopic], c.operatorOffset
-	if c.feeds[platform.OperatorTopic].listing() {
-		offset = -1
+	c.fetching[topic] = true
+	j := &catchUpJob{http: c.peers, post: c.post, from: from, topic: topic, era: c.storeEra.topics[topic], offset: c.feeds[topic].offset()}
+	if topic == platform.OperatorTopic {
+		j.base = c.editions.newest()
+		if j.offset >= 0 {
+			j.offset = c.operatorOffset
+		}
 	}
-	go (&catchUpJob{http: c.peers, post: c.post, from: from, era: era, offset: offset, base: c.editions.newest()}).run(ctx)
+	go j.run(ctx)
 }
 
-// catchUpJob fetches records of the operator topic from a peer.
+// catchUpJob fetches records of a topic from a peer.
 type catchUpJob struct {
 	http        *http.Client
 	post        func(event)
 	from        netip.AddrPort
+	topic       platform.Topic
 	era, offset int64
 	base        edition
 }
 
 func (j *catchUpJob) run(ctx context.Context) {
 	e, err := j.fetch(ctx)
-	e.from, e.err = j.from, err
+	e.topic, e.from, e.err = j.topic, j.from, err
 	j.post(e)
 }
 
 func (j *catchUpJob) fetch(ctx context.Context) (recordsFetched, error) {
-	query := url.Values{"era": {strconv.FormatInt(j.era, 10)}, "from": {strconv.FormatInt(j.offset, 10)}, "base": {strconv.FormatUint(j.base.hash, 16)}}
+	query := url.Values{"topic": {string(j.topic)}, "era": {strconv.FormatInt(j.era, 10)}, "from": {strconv.FormatInt(j.offset, 10)}, "base": {strconv.FormatUint(j.base.hash, 16)}}
 	target := "http://" + j.from.String() + recordsPath + "?" + query.Encode()
 	response, err := getFromPeer(ctx, j.http, target)
 	if err != nil {
@@ -266,10 +284,13 @@
 
 // applyFetched applies the records that a peer has read.
 func (c *control) applyFetched(ctx context.Context, now time.Time, e recordsFetched) {
-	c.behind.fetching = false
-	l, f := e.records, c.feeds[platform.OperatorTopic]
-	if e.err != nil {
-		c.logger.Info("config: cannot fetch records from a peer", zap.Stringer("peer", e.from), zap.Error(e.err))
+	c.fetching[e.topic] = false
+	l, f := e.records, c.feeds[e.topic]
+	if e.err != nil || l.Topic != e.topic {
+		c.logger.Info("peer: cannot fetch records", zap.String("topic", string(e.topic)), zap.Stringer("peer", e.from), zap.Error(e.err))
+		if e.topic == platform.FleetTopic {
+			f.refresh()
+		}
 		return
 	}
 	if l.From < 0 {
@@ -278,14 +299,16 @@
 		}
 		c.applyListing(ctx, now, topicListing{topic: platform.OperatorTopic, batch: platform.Batch{Records: l.Records, Era: l.Era, Next: l.Next}})
 	} else {
-		if !c.acceptEra(now, platform.OperatorTopic, l.Era, "peer") || !f.supersede(now, l.Era, l.From, l.Next) {
+		if !c.acceptEra(now, e.topic, l.Era, "peer") || !f.supersede(now, l.Era, l.From, l.Next) {
 			return
 		}
-		c.applyRecords(now, platform.OperatorTopic, l.Records, readOrigin{})
-		c.advanceOffset(now, platform.OperatorTopic, l.Next, 0)
+		c.applyRecords(now, e.topic, l.Records, readOrigin{})
+		c.advanceOffset(now, e.topic, l.Next, 0)
+	}
+	if e.topic == platform.OperatorTopic {
+		c.lender.keep(e.key, e.body)
 	}
-	c.lender.keep(e.key, e.body)
-	c.logger.Info("config: records were fetched from a peer", zap.Stringer("peer", e.from), zap.Int64("from", l.From), zap.Int64("next", l.Next),
+	c.logger.Info("peer: records were fetched", zap.String("topic", string(e.topic)), zap.Stringer("peer", e.from), zap.Int64("from", l.From), zap.Int64("next", l.Next),
 		zap.Int("records", len(l.Records)), zap.Int("bytes", len(e.body)))
 	c.reconcileSoon(now)
 }
--- a/internal/edge/catchup_test.go
+++ b/internal/edge/catchup_test.go
@@ -102,7 +102,7 @@
 				behind.applyRecords(start, platform.OperatorTopic, []platform.Record{config(c.known, 0)}, readOrigin{})
 				behind.applyChange(start, (<-behind.events).(changeDecoded))
 			}
-			behind.catchUp(t.Context(), serveRecords(t, ahead))
+			behind.catchUp(t.Context(), platform.OperatorTopic, serveRecords(t, ahead))
 			e := (<-behind.events).(recordsFetched)
 			is.Equal(e.err != nil, c.maxBytes == 0)
 			is.True(len(e.body) <= c.maxBytes)
@@ -131,7 +131,7 @@
 	}
 	c.operatorOffset = 3
 	reply := make(chan lentRecords, 1)
-	c.lendRecords(recordsRequest{from: 0, reply: reply})
+	c.lendRecords(recordsRequest{topic: platform.OperatorTopic, from: 0, reply: reply})
 	lent := <-reply
 	is.Equal(len(lent.records.Records), 1)
 	is.Equal(string(lent.records.Records[0].Value), string(values[2]))
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -159,6 +159,7 @@
 	fleetReadAt     time.Time                                     // time of the last read of the fleet topic
 	operatorOffset  int64                                         // offset up to which the operator topic was read
 	behind          behind
+	fetching        map[platform.Topic]bool  // records are being fetched from a peer
 	outdated        bool                     // peers have a newer configuration that this VM cannot get
 	editions        editions                 // large records of the operator topic
 	peers           *http.Client             // for calls to peers
@@ -166,6 +167,7 @@
 	lender          *lender                  // of records of the operator topic
 	upstreamsOffset int64                    // offset up to which records of the upstreams topic were applied
 	feeds           map[platform.Topic]*feed // readers of the store's topics
+	breaker         breaker                  // of calls to the store
 	storeEra        storeEra
 	storeUptime     storeUptime
 	announce        *announceJob // writes this VM's addresses to the store; nil in tests
@@ -181,13 +183,14 @@
 	claimAfter      time.Time // time before which no claim is written, after a failed attempt
 	leaving         bool
 	started         time.Time
-	mostHeard       int       // largest number of VMs that this VM has heard of at a time, this one included
-	aloneSince      time.Time // time since which no other live VM is known
-	role            role      // of this VM, as it was found last
-	roleAt          time.Time // time of the last look at it
-	claimCheckedAt  time.Time // time of the last check for engines to claim
-	reconcileAfter  time.Time // time before which changes of other VMs and upstreams are collected
-	reconcileDue    bool      // such changes were made since the last reconciliation
+	mostHeard       int                        // largest number of VMs that this VM has heard of at a time, this one included
+	aloneSince      time.Time                  // time since which no other live VM is known
+	recent          map[platform.Topic]*recent // what was read lately
+	role            role                       // of this VM, as it was found last
+	roleAt          time.Time                  // time of the last look at it
+	claimCheckedAt  time.Time                  // time of the last check for engines to claim
+	reconcileAfter  time.Time                  // time before which changes of other VMs and upstreams are collected
+	reconcileDue    bool                       // such changes were made since the last reconciliation
 }
 
 // heldEngine is an engine on which this VM holds the claim. Only the holder
--- a/internal/edge/control_test.go
+++ b/internal/edge/control_test.go
@@ -29,7 +29,7 @@
 		c.checkBehind(t.Context(), now)
 	}
 	count := 0
-	c := &control{logger: zap.NewNop(), events: make(chan event, 10), peers: newPeerClient(), operatorOffset: 5, feeds: map[platform.Topic]*feed{platform.OperatorTopic: {interruptible: true, cancel: func() { count++ }}}}
+	c := &control{fetching: map[platform.Topic]bool{}, recent: newRecent(), logger: zap.NewNop(), events: make(chan event, 10), peers: newPeerClient(), operatorOffset: 5, feeds: map[platform.Topic]*feed{platform.OperatorTopic: {interruptible: true, cancel: func() { count++ }}}}
 	tell(c, start, 5)
 	tell(c, start.Add(time.Second), 6)
 	is.Equal(count, 0) // the records may still arrive
@@ -50,7 +50,7 @@
 func TestPeersThatAreBehindDoNotHideThatOthersAreAhead(t *testing.T) {
 	is := is.New(t)
 	count := 0
-	c := &control{logger: zap.NewNop(), events: make(chan event, 10), peers: newPeerClient(), operatorOffset: 5, feeds: map[platform.Topic]*feed{platform.OperatorTopic: {interruptible: true, cancel: func() { count++ }}}}
+	c := &control{fetching: map[platform.Topic]bool{}, recent: newRecent(), logger: zap.NewNop(), events: make(chan event, 10), peers: newPeerClient(), operatorOffset: 5, feeds: map[platform.Topic]*feed{platform.OperatorTopic: {interruptible: true, cancel: func() { count++ }}}}
 	for i := range 20 {
 		now := start.Add(time.Duration(i) * 30 * time.Millisecond)
 		offset := int64(5)
@@ -59,7 +59,7 @@
 		}
 		c.noteAhead(now, peer, cursor.Position{Offset: offset})
 		c.checkBehind(t.Context(), now)
-		if c.behind.fetching {
+		if c.fetching[platform.OperatorTopic] {
 			c.applyFetched(t.Context(), now, (<-c.events).(recordsFetched)) // the peer does not answer
 		}
 	}
@@ -69,7 +69,7 @@
 // A VM whose listing of a new era is under way has no offset to tell.
 func TestPositionIsOfTheEraThatWasListed(t *testing.T) {
 	is := is.New(t)
-	c := &control{logger: zap.NewNop(), operatorOffset: 50, storeEra: storeEra{newest: 1, topics: map[platform.Topic]int64{platform.OperatorTopic: 1}}}
+	c := &control{fetching: map[platform.Topic]bool{}, recent: newRecent(), logger: zap.NewNop(), operatorOffset: 50, storeEra: storeEra{newest: 1, topics: map[platform.Topic]int64{platform.OperatorTopic: 1}}}
 	is.Equal(c.operatorPosition(), cursor.Position{Era: 1, Offset: 50})
 	c.storeEra.newest = 2
 	is.Equal(c.operatorPosition(), cursor.Position{Era: 2})
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -109,13 +109,12 @@
 		fleet.wait, fleet.interval, fleet.confirmsClaims = confirmPoll, 0, true
 	}
 	upstreams := v.feed(platform.UpstreamsTopic, 0, upstreamsInterval(s.Bounds))
-	upstreams.onUp = func() {
-		operator.refresh()
-		fleet.refresh()
+	c.feeds = map[platform.Topic]*feed{platform.OperatorTopic: operator, platform.FleetTopic: fleet, platform.UpstreamsTopic: upstreams}
+	for _, f := range c.feeds {
+		f.onUp = func() { c.readAgain(f) }
 	}
 	c.fresh.feed, c.origins.readSince = upstreams, c.fresh.awaitSince
 	c.fresh.setBound(s.Bounds.Drain, upstreams.interval)
-	c.feeds = map[platform.Topic]*feed{platform.OperatorTopic: operator, platform.FleetTopic: fleet, platform.UpstreamsTopic: upstreams}
 	go c.loop(ctx)
 	go v.receiveLoop(ctx)
 	go v.housekeepLoop(ctx)
@@ -146,13 +145,13 @@
 		engines: platform.NewEngineClient(platform.EngineConfig{Timeout: orderTimeout}),
 		events:  make(chan event, eventBuffer),
 		roster:  roster.New(), fence: fence.New(), versions: map[engine.Name]engine.Version{}, loadLimiters: map[string]*loadLimiter{}, poison: newPoison(), newest: map[platform.Topic]map[string]platform.Record{}, held: map[string]*heldEngine{},
-		fleetEnd: -1, storeEra: storeEra{topics: map[platform.Topic]int64{}}, closeIdle: v.pool.CloseIdle, check: checker{v.pool}.check,
+		fleetEnd: -1, fetching: map[platform.Topic]bool{}, recent: newRecent(), storeEra: storeEra{topics: map[platform.Topic]int64{}}, closeIdle: v.pool.CloseIdle, check: checker{v.pool}.check,
 		gossip: gossip.New(gossip.Config{
 			ProbeTimeout: 200 * time.Millisecond, SuspicionTimeout: time.Second, MaxUpdates: 6, MaxTickGap: 400 * time.Millisecond,
 		}, self),
 	}
 	c.decoder, c.lender = newDecoder(c.post), newLender(c.post, v.logger)
-	c.announce = &announceJob{store: c.store, self: self, logger: v.logger}
+	c.announce = &announceJob{store: c.store, breaker: &c.breaker, self: self, logger: v.logger}
 	c.limits = newLimits(newPacer(self, peers.send, c.post))
 	c.software = newSoftware()
 	saver := newStreamSaver(self, c.store, peers.send, &c.limits.pacer.vms, v.logger)
@@ -167,7 +166,7 @@
 
 func (v *VM) feed(topic platform.Topic, wait, interval time.Duration) *feed {
 	return &feed{
-		topic: topic, wait: wait, interval: interval, post: v.control.post, logger: v.logger,
+		topic: topic, wait: wait, interval: interval, post: v.control.post, logger: v.logger, breaker: &v.control.breaker,
 		store: platform.NewStore(platform.StoreConfig{Address: v.settings.Load().Store, Timeout: storeTimeout}),
 	}
 }
@@ -182,9 +181,10 @@
 // announceJob writes this VM's addresses to the fleet topic, and retries until
 // that succeeds.
 type announceJob struct {
-	store  *platform.Store
-	self   gossip.VM
-	logger *zap.Logger
+	store   *platform.Store
+	breaker *breaker
+	self    gossip.VM
+	logger  *zap.Logger
 }
 
 func (j *announceJob) run(ctx context.Context) {
@@ -193,8 +193,13 @@
 		j.logger.Error("fleet: cannot encode the record of this VM", zap.Error(err))
 		return
 	}
-	for backoff := retryBackoff; ctx.Err() == nil; backoff = min(2*backoff, maxSlowBackoff) {
+	for {
+		call, ok := j.breaker.await(ctx)
+		if !ok {
+			return
+		}
 		_, err := j.store.Append(ctx, platform.FleetTopic, anyOffset, platform.Record{Key: keyVM + j.self.Name, Value: value})
+		backoff := j.breaker.end(time.Now(), call, resultOf(err), backoffRange{least: retryBackoff, most: maxBackoff})
 		if err == nil {
 			return
 		}
@@ -203,6 +208,16 @@
 	}
 }
 
+// readAgain makes the other feeds read that are down, after one has found that the store answers
+// again, and those that wait for records: their connections may be dead without an error.
+func (c *control) readAgain(up *feed) {
+	for _, f := range c.feeds {
+		if f != up && (f.down.Load() || up.topic == platform.UpstreamsTopic && !f.follows.Load()) {
+			f.refresh()
+		}
+	}
+}
+
 func (v *VM) receiveLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		from, p, err := v.transport.receive()
--- a/internal/edge/eras.go
+++ b/internal/edge/eras.go
@@ -74,7 +74,7 @@
 	case platform.UpstreamsTopic:
 		c.upstreamsOffset = 0
 	case platform.OperatorTopic:
-		c.operatorOffset, c.behind = 0, behind{fetching: c.behind.fetching}
+		c.operatorOffset, c.behind = 0, behind{}
 	case platform.FleetTopic:
 		c.fleetEnd = -1
 		clear(c.poison.saved)
--- a/internal/edge/eras_test.go
+++ b/internal/edge/eras_test.go
@@ -250,7 +250,7 @@
 			is := is.New(t)
 			vm, store := vmWithStore(t)
 			events := make(chan event, 100)
-			f := &feed{topic: platform.FleetTopic, store: vm.store, post: func(e event) { events <- e }, logger: zap.NewNop(), interval: 10 * time.Millisecond}
+			f := &feed{topic: platform.FleetTopic, store: vm.store, breaker: &breaker{}, post: func(e event) { events <- e }, logger: zap.NewNop(), interval: 10 * time.Millisecond}
 			copied := time.Now()
 			time.Sleep(time.Millisecond)
 			for i := range 5 {
@@ -284,7 +284,7 @@
 	is := is.New(t)
 	vm, store := vmWithStore(t)
 	events := make(chan event, 100)
-	f := &feed{topic: platform.FleetTopic, store: vm.store, post: func(e event) { events <- e }, logger: zap.NewNop(), wait: time.Hour}
+	f := &feed{topic: platform.FleetTopic, store: vm.store, breaker: &breaker{}, post: func(e event) { events <- e }, logger: zap.NewNop(), wait: time.Hour}
 	copied := time.Now()
 	time.Sleep(time.Millisecond)
 	store.Put(string(platform.FleetTopic), "old", []byte("x"))
@@ -335,7 +335,7 @@
 	is := is.New(t)
 	vms, store := storeVMs(t, "a")
 	a := vms[0]
-	a.announce = &announceJob{store: a.store, self: a.self, logger: zap.NewNop()}
+	a.announce = &announceJob{store: a.store, breaker: &breaker{}, self: a.self, logger: zap.NewNop()}
 	copied := time.Now()
 	time.Sleep(time.Millisecond)
 	a.announce.run(t.Context())
--- a/internal/edge/feed.go
+++ b/internal/edge/feed.go
@@ -18,6 +18,7 @@
 type feed struct {
 	topic          platform.Topic
 	store          *platform.Store
+	breaker        *breaker
 	post           func(event)
 	logger         *zap.Logger
 	wait           time.Duration // longest wait of a read for new records
@@ -64,27 +65,33 @@
 }
 
 // retryBackoff and maxBackoff are the initial and the longest backoff after failed
-// calls to the store.
+// calls to the store, slowBackoff and maxSlowBackoff those of followers.
 const (
 	retryBackoff   = 200 * time.Millisecond
 	maxBackoff     = 800 * time.Millisecond
-	maxSlowBackoff = 3 * time.Second // longest backoff of followers, and for the announcement of this VM
+	slowBackoff    = time.Second
+	maxSlowBackoff = 3 * time.Second
 )
 
-func (f *feed) maxBackoff() time.Duration {
+func (f *feed) backoff() backoffRange {
 	if f.slowRetry.Load() {
-		return maxSlowBackoff
+		return backoffRange{least: slowBackoff, most: maxSlowBackoff}
 	}
-	return maxBackoff
+	return backoffRange{least: retryBackoff, most: maxBackoff}
 }
 
 func (f *feed) loop(ctx context.Context) {
 	f.list()
-	backoff := retryBackoff
 	for ctx.Err() == nil {
-		f.sleep(ctx, f.takeDelay())
+		delay := f.takeDelay()
+		f.sleep(ctx, delay, delay)
+		call, ok := f.breaker.await(ctx)
+		if !ok {
+			return
+		}
 		next, began := f.offset(), sinceBoot()
 		batch, requested, err := f.fetch(ctx, next)
+		backoff := f.breaker.end(time.Now(), call, resultOf(err), f.backoff())
 		switch {
 		case errors.Is(err, platform.ErrTrimmed):
 			f.logger.Info("store: records were trimmed; listing the whole topic", zap.String("topic", string(f.topic)))
@@ -95,11 +102,9 @@
 			continue
 		case err != nil:
 			f.markDown(err, sinceBoot()-began)
-			f.sleep(ctx, backoff)
-			backoff = min(2*backoff, f.maxBackoff())
+			f.sleep(ctx, backoff, f.nextInterval()) // a VM that the store turns away may still hear from others
 			continue
 		}
-		backoff = retryBackoff
 		recovered := f.markUp()
 		if !f.acceptEra(next, batch.Era) {
 			f.post(eraSeen{era: batch.Era})
@@ -111,7 +116,20 @@
 			f.post(recordsRead{topic: f.topic, from: next, batch: batch, recovered: recovered, began: began})
 		}
 		f.advance(batch.Era, batch.Next)
-		f.sleep(ctx, f.nextInterval())
+		interval := f.nextInterval()
+		f.sleep(ctx, interval, interval)
+	}
+}
+
+// resultOf returns what the error of a call tells of the store.
+func resultOf(err error) callResult {
+	switch {
+	case errors.Is(err, errRestarted):
+		return callCanceled
+	case err == nil, errors.Is(err, platform.ErrTrimmed), errors.Is(err, platform.ErrConflict):
+		return callAnswered
+	default:
+		return callFailed
 	}
 }
 
@@ -374,9 +392,9 @@
 	return wasDown
 }
 
-// sleep waits for d before the next read. If a peer forwards records meanwhile,
-// sleep waits until d after it read them.
-func (f *feed) sleep(ctx context.Context, d time.Duration) {
+// sleep waits for d before the next read. If a peer forwards records, sleep waits until
+// interval after it read them.
+func (f *feed) sleep(ctx context.Context, d, interval time.Duration) {
 	until := time.Now().Add(d)
 	for left := d; left > 0 && ctx.Err() == nil; left = time.Until(until) {
 		f.mu.Lock()
@@ -394,7 +412,7 @@
 			return
 		}
 		f.mu.Lock()
-		if t := f.forwardedAt.Add(d); t.After(until) {
+		if t := f.forwardedAt.Add(interval); t.After(until) {
 			until = t
 		}
 		f.mu.Unlock()
--- a/internal/edge/feed_test.go
+++ b/internal/edge/feed_test.go
@@ -22,7 +22,7 @@
 	t.Cleanup(server.Close)
 	events := make(chan event, 100)
 	store := platform.NewStore(platform.StoreConfig{Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Timeout: time.Second})
-	return &feed{topic: platform.OperatorTopic, store: store, post: func(e event) { events <- e }, logger: zap.NewNop(), wait: longPoll}, events
+	return &feed{topic: platform.OperatorTopic, store: store, breaker: &breaker{}, post: func(e event) { events <- e }, logger: zap.NewNop(), wait: longPoll}, events
 }
 
 const (
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -47,12 +47,13 @@
 }
 
 // currentRole returns the role of this VM. The live VMs are sorted by name and
-// divided into groups; the first VM of each group forwards records to the others. A VM that is
-// listed in the store counts as live until probes fail: all VMs may have just started.
+// divided into groups; the first VM of each group forwards records to the others. A VM counts as
+// live until it is known to be dead: all VMs may have just started, and each one that is left out
+// for a moment would move all groups after it.
 func (c *control) currentRole() role {
 	names, live := []string{c.self.Name}, map[string]gossip.VM{}
 	for _, m := range c.gossip.Members() {
-		if m.Status == gossip.Listed || m.Status.Reachable() {
+		if m.Status != gossip.Dead {
 			names = append(names, m.VM.Name)
 			live[m.VM.Name] = m.VM
 		}
@@ -120,14 +121,16 @@
 // forward sets the current role in the feeds and, if this VM forwards, sends the
 // records of a read to the other members of its group, and to the other forwarders. A VM that
 // receives nothing reads the store itself.
-func (c *control) forward(e recordsRead, records []platform.Record, grace time.Duration) {
+func (c *control) forward(now time.Time, e recordsRead, records []platform.Record, grace time.Duration) {
 	r := c.currentRole()
 	c.setRole(r)
+	defer c.recent[e.topic].add(e.batch.Era, batch{from: e.from, next: e.batch.Next, records: records, at: now})
 	if !r.forwards || (e.topic != platform.UpstreamsTopic && !r.large) {
 		return
 	}
 	to := slices.Concat(r.members, r.peers)
-	for _, l := range splitRecords(e, records) {
+	e, all := c.withLast(now, e, records)
+	for _, l := range splitRecords(e, all) {
 		l.Grace, l.Age = grace, sinceBoot()-e.began
 		c.sendAll(to, l)
 	}
@@ -136,10 +139,93 @@
 	}
 	// Even an empty batch is useful: it makes the others postpone their own reads.
 	for t, next := range map[platform.Topic]int64{platform.OperatorTopic: c.operatorOffset, platform.FleetTopic: c.fleetEnd} {
-		if f := c.feeds[t]; !f.down.Load() && !f.follows.Load() {
-			c.sendAll(to, forwardedRecords{Topic: t, Era: c.storeEra.topics[t], From: next, Next: next})
+		f := c.feeds[t]
+		if f.down.Load() || f.follows.Load() {
+			continue
+		}
+		e, all := c.withLast(now, recordsRead{topic: t, from: next, batch: platform.Batch{Era: c.storeEra.topics[t], Next: next}}, nil)
+		for _, l := range splitRecords(e, all) {
+			c.sendAll(to, l)
+		}
+	}
+}
+
+// batch is what a VM has read of a topic at once.
+type batch struct {
+	from, next int64
+	records    []platform.Record // without those that change nothing
+	at         time.Time
+}
+
+// recent is what a VM has read of a topic lately, without a gap, for VMs that have read a little less.
+type recent struct {
+	era     int64
+	batches []batch
+}
+
+const (
+	// resendTime is how long what was forwarded is sent again with what follows.
+	resendTime = 3 * time.Second
+	// recentTime and maxRecent bound what is kept for VMs that ask for it.
+	recentTime = 10 * time.Second
+	maxRecent  = 64
+)
+
+// newRecent returns the recent records of the topics that VMs forward.
+func newRecent() map[platform.Topic]*recent {
+	return map[platform.Topic]*recent{platform.OperatorTopic: {}, platform.UpstreamsTopic: {}, platform.FleetTopic: {}}
+}
+
+// add adds what was read now.
+func (l *recent) add(era int64, b batch) {
+	last := len(l.batches) - 1
+	if era != l.era || last >= 0 && l.batches[last].next != b.from {
+		l.era, l.batches = era, nil
+	}
+	if b.next > b.from {
+		l.batches = append(l.batches, b)
+	}
+	old := max(len(l.batches)-maxRecent, 0)
+	for old < len(l.batches) && b.at.Sub(l.batches[old].at) > recentTime {
+		old++
+	}
+	l.batches = slices.Clone(l.batches[old:])
+}
+
+// before returns the last batch, which ends at an offset in an era, unless it is too old to be sent
+// again. It returns false if there is none.
+func (l *recent) before(now time.Time, era, next int64) (batch, bool) {
+	last := len(l.batches) - 1
+	if last < 0 || l.era != era || l.batches[last].next != next || now.Sub(l.batches[last].at) > resendTime {
+		return batch{}, false
+	}
+	return l.batches[last], true
+}
+
+// since returns what was read from an offset on, and where it ends. It returns false if some of
+// that is not kept.
+func (l *recent) since(era, from int64) (records []platform.Record, next int64, ok bool) {
+	if len(l.batches) == 0 || era != l.era || from < l.batches[0].from {
+		return nil, 0, false
+	}
+	for _, b := range l.batches {
+		next = b.next
+		for _, r := range b.records {
+			if r.Offset >= from {
+				records = append(records, r)
+			}
 		}
 	}
+	return records, next, from <= next
+}
+
+// withLast puts what this VM forwarded last before what it has read now: other VMs that read by
+// themselves, as all do at a start, may have read a little less than this one.
+func (c *control) withLast(now time.Time, e recordsRead, records []platform.Record) (recordsRead, []platform.Record) {
+	if last, ok := c.recent[e.topic].before(now, e.batch.Era, e.from); ok {
+		e.from, records = last.from, slices.Concat(last.records, records)
+	}
+	return e, records
 }
 
 // relay sends records that another forwarder has read to the other members of this VM's group.
@@ -205,24 +291,22 @@
 	if !c.acceptEra(now, l.Topic, l.Era, "peer") {
 		return
 	}
-	received := sinceBoot()
+	received, known := sinceBoot(), f.offset()
 	if !f.skipTo(now.Add(-l.Age), l.Era, l.From, l.Next) {
-		switch {
-		case !f.follows.Load() || !f.hasGap(l.From):
-		case l.Topic == platform.OperatorTopic:
-			c.catchUp(ctx, from)
-		default:
-			f.refresh()
+		if f.hasGap(l.From) && (c.role.large || f.follows.Load()) {
+			c.catchUp(ctx, l.Topic, from)
 		}
 		return
 	}
 	c.relay(*l, received)
-	c.applyRecords(now, l.Topic, l.Records, readOrigin{recovered: l.Recovered, grace: l.Grace})
+	news := slices.DeleteFunc(slices.Clone(l.Records), func(r platform.Record) bool { return r.Offset < known })
+	c.recent[l.Topic].add(l.Era, batch{from: known, next: l.Next, records: news, at: now})
+	c.applyRecords(now, l.Topic, news, readOrigin{recovered: l.Recovered, grace: l.Grace})
 	c.advanceOffset(now, l.Topic, l.Next, 0)
 	if l.Topic == platform.UpstreamsTopic {
 		c.fresh.note(sinceBoot() - l.Age)
 	}
-	if len(l.Records) > 0 {
+	if len(news) > 0 {
 		c.reconcileSoon(now)
 	}
 }
--- a/internal/edge/forward_test.go
+++ b/internal/edge/forward_test.go
@@ -61,7 +61,7 @@
 
 func newGroupControl(count int, self string) *control {
 	vm := gossip.VM{Name: self, Boot: 1}
-	c := &control{limits: newLimits(newPacer(vm, nil, nil)), logger: zap.NewNop(), self: vm, gossip: gossip.New(gossip.Config{}, vm), settings: platform.Settings{Bounds: platform.Bounds{Fenced: true}}, storeEra: storeEra{topics: map[platform.Topic]int64{}}}
+	c := &control{fetching: map[platform.Topic]bool{}, recent: newRecent(), limits: newLimits(newPacer(vm, nil, nil)), logger: zap.NewNop(), self: vm, gossip: gossip.New(gossip.Config{}, vm), settings: platform.Settings{Bounds: platform.Bounds{Fenced: true}}, storeEra: storeEra{topics: map[platform.Topic]int64{}}}
 	c.origins = newOrigins(vm, nil, &c.limits.pacer.vms, newStreamSaver(vm, nil, nil, &c.limits.pacer.vms, c.logger))
 	for i := range count {
 		peer := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i)}), 9)
@@ -115,7 +115,7 @@
 		platform.OperatorTopic: {topic: platform.OperatorTopic, next: 5, interruptible: true, cancel: func() { reads++ }}, platform.UpstreamsTopic: {next: -1}, platform.FleetTopic: {next: -1},
 	}
 	c.storeEra.topics[platform.OperatorTopic] = 0
-	c.forward(recordsRead{topic: platform.UpstreamsTopic}, nil, 0) // sets the role of the VM in each feed
+	c.forward(start, recordsRead{topic: platform.UpstreamsTopic}, nil, 0) // sets the role of the VM in each feed
 	is.True(c.feeds[platform.OperatorTopic].follows.Load())
 	is.Equal(c.feeds[platform.OperatorTopic].nextInterval(), followInterval)
 
@@ -204,6 +204,38 @@
 	is.Equal(c.feeds[platform.UpstreamsTopic].nextInterval(), time.Second)
 }
 
+// Guards against VMs that cannot use what is forwarded, as they have read a little less than the VM
+// that forwards, and so read the store for themselves for as long as records come (start of all VMs).
+func TestForwardedRecordsReachVMsThatHaveReadLess(t *testing.T) {
+	is := is.New(t)
+	c := newGroupControl(40, "vm-000")
+	c.metrics, c.versions, c.roster, c.poison = metric.New(), map[engine.Name]engine.Version{}, roster.New(), newPoison()
+	c.newest = map[platform.Topic]map[string]platform.Record{}
+	entry := func(offset int64) platform.Record {
+		return platform.Record{Offset: offset, Key: fmt.Sprint("u", offset), Value: emul.PlainEntry("s", fmt.Sprintf("127.0.0.1:%d", 100+offset), 1, false)}
+	}
+	c.recent[platform.UpstreamsTopic].add(0, batch{from: 0, next: 3, records: []platform.Record{entry(0), entry(1), entry(2)}, at: start})
+	second := recordsRead{topic: platform.UpstreamsTopic, from: 3, batch: platform.Batch{Next: 4}}
+	e, records := c.withLast(start.Add(time.Second), second, []platform.Record{entry(3)})
+	is.Equal(e.from, int64(0))
+	is.Equal(len(records), 4)
+	later, _ := c.withLast(start.Add(resendTime+time.Second), second, nil)
+	is.Equal(later.from, int64(3))
+
+	member := newGroupControl(40, "vm-003")
+	member.metrics, member.versions, member.roster, member.poison = c.metrics, c.versions, roster.New(), newPoison()
+	member.newest = map[platform.Topic]map[string]platform.Record{}
+	f := &feed{topic: platform.UpstreamsTopic, next: 2}
+	member.feeds, member.storeEra.topics[platform.UpstreamsTopic] = map[platform.Topic]*feed{platform.UpstreamsTopic: f}, 0
+	member.upstreamsOffset, member.reconcileAfter = 2, start.Add(time.Hour)
+	member.applyForwarded(t.Context(), start, peer, &forwardedRecords{Topic: platform.UpstreamsTopic, From: e.from, Next: 4, Records: records})
+	is.Equal(f.offset(), int64(4))
+	_, known := member.roster.Get("u2")
+	is.True(known)
+	_, known = member.roster.Get("u1") // it had read that before
+	is.True(!known)
+}
+
 // Guards against forwarders that each read the store: they read one after the other, so that those
 // that hear from the first one postpone their reads, and all do before their members read.
 func TestForwardersReadInTurn(t *testing.T) {
@@ -269,3 +301,41 @@
 	}
 	return p
 }
+
+// Guards against VMs that read the store for themselves since datagrams with records were lost, or
+// came while they read (start of all VMs).
+func TestRecordsAreFetchedFromThePeerThatForwards(t *testing.T) {
+	is := is.New(t)
+	l := &recent{}
+	record := func(offset int64) platform.Record { return platform.Record{Offset: offset} }
+	l.add(2, batch{from: 3, next: 6, records: []platform.Record{record(4), record(5)}, at: start})
+	l.add(2, batch{from: 6, next: 7, records: []platform.Record{record(6)}, at: start.Add(time.Second)})
+	l.add(2, batch{from: 7, next: 7, at: start.Add(time.Second)})
+	records, next, ok := l.since(2, 5)
+	is.True(ok)
+	is.Equal(records, []platform.Record{record(5), record(6)})
+	is.Equal(next, int64(7))
+	for _, c := range []struct {
+		name      string
+		era, from int64
+	}{{"older than what is kept", 2, 2}, {"not read yet", 2, 8}, {"another era", 1, 5}} {
+		_, _, ok := l.since(c.era, c.from)
+		is.True(!ok) // c.name
+	}
+	l.add(2, batch{from: 9, next: 10, at: start.Add(2 * time.Second)}) // 7 and 8 are missing
+	_, _, ok = l.since(2, 6)
+	is.True(!ok)
+	l.add(2, batch{from: 10, next: 11, at: start.Add(2*time.Second + recentTime + 1)})
+	_, _, ok = l.since(2, 9)
+	is.True(!ok) // too old
+
+	c := newGroupControl(40, "vm-000")
+	c.recent[platform.FleetTopic].add(0, batch{from: 3, next: 6, records: []platform.Record{record(4), record(5)}, at: start})
+	reply := make(chan lentRecords, 1)
+	c.lendRecords(recordsRequest{topic: platform.FleetTopic, from: 5, reply: reply})
+	lent := <-reply
+	is.True(lent.known)
+	is.Equal(lent.records.Records, []platform.Record{record(5)})
+	c.lendRecords(recordsRequest{topic: platform.FleetTopic, from: 2, reply: reply})
+	is.True(!(<-reply).known)
+}
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -24,6 +24,7 @@
 func loneVM() *control {
 	self := gossip.VM{Name: "a"}
 	return &control{
+		fetching: map[platform.Topic]bool{}, recent: newRecent(),
 		limits: newLimits(newPacer(self, nil, nil)), logger: zap.NewNop(), metrics: metric.New(), self: self, poison: newPoison(), gossip: gossip.New(gossip.Config{}, self),
 		newest: map[platform.Topic]map[string]platform.Record{}, storeEra: storeEra{topics: map[platform.Topic]int64{}},
 		roster: roster.New(), fence: fence.New(),
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -72,7 +72,7 @@
 	from := c.newReadOrigin(now, e.recovered)
 	changed := c.applyRecords(now, e.topic, e.batch.Records, from)
 	c.advanceOffset(now, e.topic, e.batch.Next, e.began)
-	c.forward(e, changed, from.grace)
+	c.forward(now, e, changed, from.grace)
 	return true
 }
 
--- a/internal/edge/state_test.go
+++ b/internal/edge/state_test.go
@@ -28,7 +28,7 @@
 	listed, err := seed.store.Newest(t.Context(), platform.OperatorTopic)
 	is.NoErr(err)
 	started.lender, started.metrics = newLender(started.post, zap.NewNop()), metric.New()
-	started.applyFetched(t.Context(), now, recordsFetched{records: forwardedRecords{Topic: platform.OperatorTopic, From: -1, Next: listed.Next, Records: listed.Records}})
+	started.applyFetched(t.Context(), now, recordsFetched{topic: platform.OperatorTopic, records: forwardedRecords{Topic: platform.OperatorTopic, From: -1, Next: listed.Next, Records: listed.Records}})
 	is.True(started.table != nil)
 	is.True(!started.knowsTopics())
 	seed.replyState(now, reply)
