fix(edge): more records than four datagrams are fetched, not forwarded

Change: the position is forwarded instead, and who lacks the records fetches them, compressed. Test: TestManyRecordsAreNotForwardedButFetched.

--- a/internal/edge/catchup.go
+++ b/internal/edge/catchup.go
@@ -34,8 +34,11 @@
 	keptEditions = 3
 )
 
-// errBusy is the answer of a peer that serves enough others.
-var errBusy = errors.New("peer cannot serve the records now")
+// Errors of fetching records from a peer.
+var (
+	errBusy           = errors.New("peer serves enough others") // its next datagram makes this VM try again
+	errUnknownRecords = errors.New("peer does not have the records")
+)
 
 // edition is the value of a record that fits no datagram.
 type edition struct {
@@ -268,8 +271,12 @@
 	if err != nil {
 		return recordsFetched{}, fmt.Errorf("request records: %w", err)
 	}
-	if response.Status != http.StatusOK {
-		return recordsFetched{}, fmt.Errorf("%w: status %d", errBusy, response.Status)
+	switch response.Status {
+	case http.StatusOK:
+	case http.StatusServiceUnavailable:
+		return recordsFetched{}, errBusy
+	default:
+		return recordsFetched{}, fmt.Errorf("%w: status %d", errUnknownRecords, response.Status)
 	}
 	var base edition
 	if response.Header.Get(headerBase) == strconv.FormatUint(j.base.hash, 16) {
@@ -288,7 +295,7 @@
 	l, f := e.records, c.feeds[e.topic]
 	if e.err != nil || l.Topic != e.topic {
 		c.logger.Info("peer: cannot fetch records", zap.String("topic", string(e.topic)), zap.Stringer("peer", e.from), zap.Error(e.err))
-		if e.topic == platform.FleetTopic {
+		if e.topic == platform.FleetTopic && !errors.Is(e.err, errBusy) {
 			f.refresh()
 		}
 		return
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -129,8 +129,7 @@
 		return
 	}
 	to := slices.Concat(r.members, r.peers)
-	e, all := c.withLast(now, e, records)
-	for _, l := range splitRecords(e, all) {
+	for _, l := range c.datagrams(now, e, records, r.large) {
 		l.Grace, l.Age = grace, sinceBoot()-e.began
 		c.sendAll(to, l)
 	}
@@ -143,13 +142,33 @@
 		if f.down.Load() || f.follows.Load() {
 			continue
 		}
-		e, all := c.withLast(now, recordsRead{topic: t, from: next, batch: platform.Batch{Era: c.storeEra.topics[t], Next: next}}, nil)
-		for _, l := range splitRecords(e, all) {
+		position := recordsRead{topic: t, from: next, batch: platform.Batch{Era: c.storeEra.topics[t], Next: next}}
+		for _, l := range c.datagrams(now, position, nil, r.large) {
 			c.sendAll(to, l)
 		}
 	}
 }
 
+// maxDatagrams is the number of datagrams in which records are forwarded to each VM of a large
+// fleet. More would fill the link of this VM; the others fetch them, compressed.
+const maxDatagrams = 4
+
+// datagrams returns what is forwarded after a read: the records, after those that were forwarded
+// last, or the position alone if that is too much.
+func (c *control) datagrams(now time.Time, e recordsRead, records []platform.Record, large bool) []forwardedRecords {
+	if !large {
+		return splitRecords(e, records)
+	}
+	if list := splitRecords(c.withLast(now, e, records)); len(list) <= maxDatagrams {
+		return list
+	}
+	if list := splitRecords(e, records); len(list) <= maxDatagrams {
+		return list
+	}
+	e.from = e.batch.Next
+	return splitRecords(e, nil)
+}
+
 // batch is what a VM has read of a topic at once.
 type batch struct {
 	from, next int64
--- a/internal/edge/forward_test.go
+++ b/internal/edge/forward_test.go
@@ -339,3 +339,38 @@
 	c.lendRecords(recordsRequest{topic: platform.FleetTopic, from: 2, reply: reply})
 	is.True(!(<-reply).known)
 }
+
+// Guards against VMs that are held to be dead since the links of those that forward are full of
+// records, as at a start of all VMs.
+func TestManyRecordsAreNotForwardedButFetched(t *testing.T) {
+	c := newGroupControl(40, "vm-000")
+	records := func(from, to int64) []platform.Record {
+		var list []platform.Record
+		for i := from; i < to; i++ {
+			list = append(list, platform.Record{Offset: i, Value: make([]byte, maxForwardBytes/2)})
+		}
+		return list
+	}
+	read := func(from, next int64) recordsRead {
+		return recordsRead{topic: platform.FleetTopic, from: from, batch: platform.Batch{Next: next}}
+	}
+	c.recent[platform.FleetTopic].add(0, batch{from: 2, next: 6, records: records(2, 6), at: start})
+	for _, d := range []struct {
+		name      string
+		next      int64
+		from      int64
+		datagrams int
+	}{
+		{"with what was forwarded before", 8, 2, 3},
+		{"without it", 12, 6, 3},
+		{"the position alone", 20, 20, 1},
+	} {
+		t.Run(d.name, func(t *testing.T) {
+			is := is.New(t)
+			list := c.datagrams(start, read(6, d.next), records(6, d.next), true)
+			is.Equal(len(list), d.datagrams)
+			is.Equal(list[0].From, d.from)
+			is.Equal(list[len(list)-1].Next, d.next)
+		})
+	}
+}
