--- a/internal/edge/forward_test.go
+++ b/internal/edge/forward_test.go
@@ -374,3 +374,23 @@
 		})
 	}
 }
+
+// Guards against forwarders that cannot pass on what they have fetched from another one.
+func TestFetchedRecordsAreLentOn(t *testing.T) {
+	is := is.New(t)
+	c := newGroupControl(40, "vm-024")
+	c.metrics, c.roster, c.fence, c.poison = metric.New(), roster.New(), fence.New(), newPoison()
+	c.newest = map[platform.Topic]map[string]platform.Record{}
+	c.feeds = map[platform.Topic]*feed{platform.FleetTopic: {topic: platform.FleetTopic, next: 3}}
+	c.storeEra.topics[platform.FleetTopic] = 0
+	c.reconcileAfter = start.Add(time.Hour)
+	records := []platform.Record{{Offset: 3, Key: keyVM + "vm-030", Value: []byte(`{"Name":"vm-030","Boot":2}`)}}
+	c.applyFetched(t.Context(), start, recordsFetched{topic: platform.FleetTopic, records: forwardedRecords{Topic: platform.FleetTopic, From: 3, Next: 5, Records: records}})
+	is.Equal(c.feeds[platform.FleetTopic].offset(), int64(5))
+	reply := make(chan lentRecords, 1)
+	c.lendRecords(recordsRequest{topic: platform.FleetTopic, from: 3, reply: reply})
+	lent := <-reply
+	is.True(lent.known)
+	is.Equal(lent.records.Records, records)
+	is.Equal(lent.records.Next, int64(5))
+}
