--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/tanagerlb/tanagerlb/pkg/gossip"
 	"github.com/tanagerlb/tanagerlb/platform"
 )
@@ -104,6 +106,9 @@
 
 // setRole sets the role of this VM in the feeds.
 func (c *control) setRole(r role) {
+	if r.forwards != c.role.forwards || r.follows != c.role.follows {
+		c.logger.Info("store: role has changed", zap.Bool("forwards", r.forwards), zap.Bool("follows", r.follows), zap.Int("rank", r.rank), zap.Int("members", len(r.members)))
+	}
 	c.role = r
 	for t, f := range c.feeds {
 		upstreams := t == platform.UpstreamsTopic
