fix(edge): versions of a large configuration are not kept for peers

Cause: by reading; what was read in the last 10 s was kept for all topics, up to 64 versions of a configuration. Test: TestLargeRecordsAreNotKeptForPeers.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -195,13 +195,17 @@
 	maxRecent  = 64
 )
 
-// newRecent returns the recent records of the topics that VMs forward.
+// newRecent returns the recent records of the topics that VMs forward, but for the operator topic:
+// its records may be large, and the newest one of each key suffices.
 func newRecent() map[platform.Topic]*recent {
-	return map[platform.Topic]*recent{platform.OperatorTopic: {}, platform.UpstreamsTopic: {}, platform.FleetTopic: {}}
+	return map[platform.Topic]*recent{platform.UpstreamsTopic: {}, platform.FleetTopic: {}}
 }
 
-// add adds what was read now.
+// add adds what was read now. A nil recent keeps nothing.
 func (l *recent) add(era int64, b batch) {
+	if l == nil {
+		return
+	}
 	last := len(l.batches) - 1
 	if era != l.era || last >= 0 && l.batches[last].next != b.from {
 		l.era, l.batches = era, nil
@@ -219,6 +223,9 @@
 // before returns the last batch, which ends at an offset in an era, unless it is too old to be sent
 // again. It returns false if there is none.
 func (l *recent) before(now time.Time, era, next int64) (batch, bool) {
+	if l == nil {
+		return batch{}, false
+	}
 	last := len(l.batches) - 1
 	if last < 0 || l.era != era || l.batches[last].next != next || now.Sub(l.batches[last].at) > resendTime {
 		return batch{}, false
--- a/internal/edge/forward_test.go
+++ b/internal/edge/forward_test.go
@@ -394,3 +394,17 @@
 	is.Equal(lent.records.Records, records)
 	is.Equal(lent.records.Next, int64(5))
 }
+
+// Guards against VMs that keep all versions of a large configuration of the last seconds.
+func TestLargeRecordsAreNotKeptForPeers(t *testing.T) {
+	is := is.New(t)
+	c := newGroupControl(40, "vm-000")
+	l := c.recent[platform.OperatorTopic]
+	l.add(0, batch{from: 0, next: 1, records: []platform.Record{{Value: make([]byte, maxForwardBytes+1)}}, at: start})
+	_, ok := l.before(start, 0, 1)
+	is.True(!ok)
+	// The record is not left out of what is forwarded: those that lack it find a gap.
+	list := c.datagrams(start, recordsRead{topic: platform.OperatorTopic, from: 1, batch: platform.Batch{Next: 1}}, nil, true)
+	is.Equal(len(list), 1)
+	is.Equal(list[0].From, int64(1))
+}
