fix(engine): an estimate of loads falls as soon as loads are fast again

Change: while the estimate is over twice the configured time, reports are fetched; one that shows the adapter sooner bounds the estimate by twice the time that the load took. Test: TestLoadsAfterACongestedStore (failed before: a request waited for over a second for a load of 250 ms).

--- a/pkg/engine/congestion_test.go
+++ b/pkg/engine/congestion_test.go
@@ -180,3 +180,41 @@
 		})
 	}
 }
+
+// Guards against requests that wait for an adapter that is loaded already: after the weight store was
+// congested, the estimate of a load stayed long for dozens of loads (worst seconds of scale-2 on grown
+// jmc-repair).
+func TestLoadsAfterACongestedStore(t *testing.T) {
+	is := is.New(t)
+	settings := config()
+	settings.ColdLoad, settings.ReportLag = 270*time.Millisecond, 300*time.Millisecond
+	store := &weightStore{parallel: 1, loadTime: 4 * time.Second} // the loads of other engines slow this one down
+	e := &congestedEngine{scheduler: engine.New(settings, start), store: store, present: map[engine.Name]bool{}, coming: map[engine.Name]bool{}, running: map[string]time.Time{}, waiting: map[string]engine.Request{}}
+	now := start
+	play := func(d time.Duration) {
+		const tick = 5 * time.Millisecond
+		for end := now.Add(d); now.Before(end); now = now.Add(tick) {
+			store.advance(tick)
+			e.advance(now)
+		}
+	}
+	ask := func(adapter string) {
+		r := request(adapter, adapter, now)
+		r.Objective, r.Deadline = now.Add(time.Second), now.Add(15*time.Second)
+		r.UsefulUntil, r.MayQueue = r.Deadline, true
+		e.admit(now, r)
+	}
+	play(100 * time.Millisecond)
+	ask("a0")
+	play(6 * time.Second)
+	is.Equal(len(e.waiting), 0) // it was served in the end
+
+	store.loadTime = 250 * time.Millisecond
+	ask("a1")
+	play(time.Second)
+	is.Equal(len(e.waiting), 0) // within its objective
+	ask("a2")
+	play(time.Second)
+	is.Equal(len(e.waiting), 0)
+	is.Equal(e.refused, 0)
+}
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -250,6 +250,12 @@
 	missingRetry = 60 * time.Millisecond
 	// retryShare is the same as a share of the time that the load has taken so far.
 	retryShare = 0.5
+	// slowLoad times Config.ColdLoad is the estimate of a load from which on reports are fetched
+	// that tell whether it has ended sooner.
+	slowLoad = 2
+	// endedMargin times the time that such a load took is the estimate of the next one: loads
+	// that begin together differ.
+	endedMargin = 2.0
 	// maxLoadTime is how long after its load was ordered an adapter that is not loaded may still
 	// be on its way.
 	maxLoadTime = 5 * time.Second
--- a/pkg/engine/estimate.go
+++ b/pkg/engine/estimate.go
@@ -181,6 +181,11 @@
 	t.factor = min(max(t.factor, float64(elapsed)/float64(t.expected))*t.rise, t.maxFactor)
 }
 
+// endedEarly records a load that has ended within the given time, sooner than estimated.
+func (t *loadTiming) endedEarly(within time.Duration) {
+	t.factor = max(min(t.factor, endedMargin*float64(within)/float64(t.expected)), 1)
+}
+
 // inTime records a load that took no longer than estimated.
 func (t *loadTiming) inTime() { t.factor = max(t.factor*loadFactorDecay, 1) }
 
--- a/pkg/engine/order.go
+++ b/pkg/engine/order.go
@@ -117,6 +117,9 @@
 	}
 	*a = next
 	a.readyAt = now.Add(expected)
+	if expected > slowLoad*s.config.ColdLoad && s.pollAt.IsZero() { // it may take no longer than usual again
+		s.pollAt = now.Add(s.config.ColdLoad + s.config.ReportLag)
+	}
 	return Load{Name: n, Version: s.newest[n].Number, ExpectedOrders: s.acceptedOrders}
 }
 
--- a/pkg/engine/report.go
+++ b/pkg/engine/report.go
@@ -79,6 +79,9 @@
 	if a.state == loading && now.Sub(a.loadStart) < s.config.ReportLag && version < a.version {
 		return // the report is older than the order
 	}
+	if a.state == loading && !a.loadStart.IsZero() && now.Before(a.readyAt) {
+		s.loadTiming(a.warm).endedEarly(now.Sub(a.loadStart))
+	}
 	a.state, a.version, a.previous = resident, version, nil
 	if version < s.newest[n].Number && a.staleSince.IsZero() {
 		a.staleSince = s.newest[n].Published
