--- a/internal/edge/catchup.go
+++ b/internal/edge/catchup.go
@@ -309,6 +309,7 @@
 		if !c.acceptEra(now, e.topic, l.Era, "peer") || !f.supersede(now, l.Era, l.From, l.Next) {
 			return
 		}
+		c.relayFetched(now, l)
 		c.recent[e.topic].add(l.Era, batch{from: l.From, next: l.Next, records: l.Records, at: now})
 		c.applyRecords(now, e.topic, l.Records, readOrigin{})
 		c.advanceOffset(now, e.topic, l.Next, 0)
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -109,6 +109,7 @@
 	if r.forwards != c.role.forwards || r.follows != c.role.follows {
 		c.logger.Info("store: role has changed", zap.Bool("forwards", r.forwards), zap.Bool("follows", r.follows), zap.Int("rank", r.rank), zap.Int("members", len(r.members)))
 	}
+	begins := r.forwards && r.large && !(c.role.forwards && c.role.large)
 	c.role = r
 	for t, f := range c.feeds {
 		upstreams := t == platform.UpstreamsTopic
@@ -120,6 +121,9 @@
 		} else {
 			f.slowRetry.Store(r.follows)
 		}
+		if begins && t != platform.OperatorTopic {
+			f.refresh() // sooner than the members of the group would read by themselves
+		}
 	}
 }
 
@@ -267,6 +271,18 @@
 	}
 }
 
+// relayFetched sends records that this VM has fetched from another forwarder to the other members of
+// its group.
+func (c *control) relayFetched(now time.Time, l forwardedRecords) {
+	if !c.role.forwards || !c.role.large || l.Topic == platform.OperatorTopic {
+		return
+	}
+	for _, d := range c.datagrams(now, recordsRead{topic: l.Topic, from: l.From, batch: platform.Batch{Era: l.Era, Next: l.Next}}, l.Records, true) {
+		d.Relayed = true
+		c.sendAll(c.role.members, d)
+	}
+}
+
 func (c *control) sendAll(members []netip.AddrPort, l forwardedRecords) {
 	for _, to := range members {
 		c.transport.send(to, packet{Records: &l})
--- a/internal/edge/forward_test.go
+++ b/internal/edge/forward_test.go
@@ -236,6 +236,23 @@
 	is.True(!known)
 }
 
+// Guards against a group whose members all read by themselves at a start, as the VM that forwards
+// reads no sooner than they do.
+func TestForwarderReadsAtOnce(t *testing.T) {
+	is := is.New(t)
+	for _, self := range []string{"vm-024", "vm-025"} {
+		c := newGroupControl(40, self)
+		upstreams, operator := &feed{topic: platform.UpstreamsTopic}, &feed{topic: platform.OperatorTopic}
+		c.feeds = map[platform.Topic]*feed{platform.UpstreamsTopic: upstreams, platform.OperatorTopic: operator}
+		c.reviewRole(start)
+		is.Equal(upstreams.requested, self == "vm-024")
+		is.True(!operator.requested) // it waits for records
+		upstreams.requested = false
+		c.reviewRole(start.Add(time.Second))
+		is.True(!upstreams.requested)
+	}
+}
+
 // Guards against forwarders that each read the store: they read one after the other, so that those
 // that hear from the first one postpone their reads, and all do before their members read.
 func TestForwardersReadInTurn(t *testing.T) {
@@ -259,15 +276,7 @@
 	c := newGroupControl(40, "vm-024")
 	c.metrics, c.versions, c.roster, c.fence, c.poison = metric.New(), map[engine.Name]engine.Version{}, roster.New(), fence.New(), newPoison()
 	c.newest = map[platform.Topic]map[string]platform.Record{}
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
-	is.NoErr(err)
-	defer conn.Close()
-	member, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
-	is.NoErr(err)
-	defer member.Close()
-	c.gossip.ApplyDirect(start, gossip.Update{VM: gossip.VM{Name: "vm-030", Boot: 2, Peer: member.LocalAddr().(*net.UDPAddr).AddrPort()}, Status: gossip.Alive})
-	c.transport = &transport{conn: conn, logger: zap.NewNop()}
-	c.dispatcher = newDispatcher(c.self, c.transport, c.post, c.logger)
+	member := connectMember(t, c, "vm-030")
 	c.feeds = map[platform.Topic]*feed{platform.OperatorTopic: {topic: platform.OperatorTopic, next: 5}, platform.UpstreamsTopic: {topic: platform.UpstreamsTopic, next: -1}}
 	c.storeEra.topics[platform.OperatorTopic] = 0
 	c.reviewRole(start)
@@ -281,10 +290,28 @@
 
 	c.applyForwarded(t.Context(), start, peer, relayed.Records)
 	is.NoErr(member.SetReadDeadline(time.Now().Add(50 * time.Millisecond)))
-	_, err = member.Read(make([]byte, packetBytes))
+	_, err := member.Read(make([]byte, packetBytes))
 	is.True(err != nil) // what was relayed is not relayed again
 }
 
+// connectMember gives a VM a transport, and returns the socket of another VM of its group.
+func connectMember(t *testing.T, c *control, name string) *net.UDPConn {
+	t.Helper()
+	listen := func() *net.UDPConn {
+		conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		return conn
+	}
+	member := listen()
+	c.gossip.ApplyDirect(start, gossip.Update{VM: gossip.VM{Name: name, Boot: 2, Peer: member.LocalAddr().(*net.UDPAddr).AddrPort()}, Status: gossip.Alive})
+	c.transport = &transport{conn: listen(), logger: zap.NewNop()}
+	c.dispatcher = newDispatcher(c.self, c.transport, c.post, c.logger)
+	return member
+}
+
 func receivePacket(t *testing.T, conn *net.UDPConn) packet {
 	t.Helper()
 	if err := conn.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
@@ -381,12 +408,15 @@
 	c := newGroupControl(40, "vm-024")
 	c.metrics, c.roster, c.fence, c.poison = metric.New(), roster.New(), fence.New(), newPoison()
 	c.newest = map[platform.Topic]map[string]platform.Record{}
+	member := connectMember(t, c, "vm-030")
 	c.feeds = map[platform.Topic]*feed{platform.FleetTopic: {topic: platform.FleetTopic, next: 3}}
 	c.storeEra.topics[platform.FleetTopic] = 0
+	c.setRole(c.currentRole())
 	c.reconcileAfter = start.Add(time.Hour)
 	records := []platform.Record{{Offset: 3, Key: keyVM + "vm-030", Value: []byte(`{"Name":"vm-030","Boot":2}`)}}
 	c.applyFetched(t.Context(), start, recordsFetched{topic: platform.FleetTopic, records: forwardedRecords{Topic: platform.FleetTopic, From: 3, Next: 5, Records: records}})
 	is.Equal(c.feeds[platform.FleetTopic].offset(), int64(5))
+	is.Equal(receivePacket(t, member).Records.Next, int64(5)) // its group hears of them
 	reply := make(chan lentRecords, 1)
 	c.lendRecords(recordsRequest{topic: platform.FleetTopic, from: 3, reply: reply})
 	lent := <-reply
