--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -109,7 +109,7 @@
 	if r.forwards != c.role.forwards || r.follows != c.role.follows {
 		c.logger.Info("store: role has changed", zap.Bool("forwards", r.forwards), zap.Bool("follows", r.follows), zap.Int("rank", r.rank), zap.Int("members", len(r.members)))
 	}
-	begins := r.forwards && r.large && !(c.role.forwards && c.role.large)
+	begins := r.forwards && r.large && (!c.role.forwards || !c.role.large)
 	c.role = r
 	for t, f := range c.feeds {
 		upstreams := t == platform.UpstreamsTopic
