fix(edge): the time that upstreams have to register again is passed on with what is sent again or fetched

Records that a VM has read after an outage come with the time that upstreams whose entries lapsed have to register again; what was sent once more with later records, or fetched from a peer, came without, so that a VM held such upstreams to be gone at once. Test: TestTimeToRegisterAgainIsPassedOn. The tests of datagrams and of what is kept build batches now; their checks are the same.

--- a/internal/edge/catchup.go
+++ b/internal/edge/catchup.go
@@ -109,14 +109,16 @@
 
 // lendRecords replies with the records that a peer asks for. Records of the operator topic that a
 // later one with their key has replaced are left out.
-func (c *control) lendRecords(r recordsRequest) {
+func (c *control) lendRecords(now time.Time, r recordsRequest) {
 	if r.topic != platform.OperatorTopic {
-		l := forwardedRecords{Topic: r.topic, Era: r.era, From: r.from}
-		var known bool
-		if recent, ok := c.recent[r.topic]; ok && r.era == c.storeEra.newest {
-			l.Records, l.Next, known = recent.since(r.era, r.from)
+		var b batch
+		recent, known := c.recent[r.topic]
+		if known = known && r.era == c.storeEra.newest; known {
+			b, known = recent.since(now, r.era, r.from)
 		}
-		r.reply <- lentRecords{records: l, known: known}
+		r.reply <- lentRecords{records: forwardedRecords{
+			Topic: r.topic, Era: r.era, From: r.from, Next: b.next, Recovered: b.recovered, Grace: b.grace, Records: b.records,
+		}, known: known}
 		return
 	}
 	era, listed := c.storeEra.topics[platform.OperatorTopic]
@@ -310,8 +312,8 @@
 			return
 		}
 		c.relayFetched(now, l)
-		c.recent[e.topic].add(l.Era, batch{from: l.From, next: l.Next, records: l.Records, at: now})
-		c.applyRecords(now, e.topic, l.Records, readOrigin{})
+		c.recent[e.topic].add(l.Era, l.batch(now, l.From, l.Records))
+		c.applyRecords(now, e.topic, l.Records, readOrigin{recovered: l.Recovered, grace: l.Grace})
 		c.advanceOffset(now, e.topic, l.Next, 0)
 	}
 	if e.topic == platform.OperatorTopic {
--- a/internal/edge/catchup_test.go
+++ b/internal/edge/catchup_test.go
@@ -51,7 +51,7 @@
 		for {
 			select {
 			case e := <-c.events:
-				c.lendRecords(e.(recordsRequest))
+				c.lendRecords(start, e.(recordsRequest))
 			case <-ctx.Done():
 				return
 			}
@@ -131,7 +131,7 @@
 	}
 	c.operatorOffset = 3
 	reply := make(chan lentRecords, 1)
-	c.lendRecords(recordsRequest{topic: platform.OperatorTopic, from: 0, reply: reply})
+	c.lendRecords(start, recordsRequest{topic: platform.OperatorTopic, from: 0, reply: reply})
 	lent := <-reply
 	is.Equal(len(lent.records.Records), 1)
 	is.Equal(string(lent.records.Records[0].Value), string(values[2]))
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -305,7 +305,7 @@
 	case claimDone:
 		c.noteClaimDone(now, e)
 	case recordsRequest:
-		c.lendRecords(e)
+		c.lendRecords(now, e)
 	case recordsFetched:
 		c.applyFetched(ctx, now, e)
 	case softwareSaved:
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -133,13 +133,14 @@
 func (c *control) forward(now time.Time, e recordsRead, records []platform.Record, grace time.Duration) {
 	r := c.currentRole()
 	c.setRole(r)
-	defer c.recent[e.topic].add(e.batch.Era, batch{from: e.from, next: e.batch.Next, records: records, at: now})
+	b := batch{from: e.from, next: e.batch.Next, records: records, at: now, recovered: e.recovered, grace: grace}
+	defer c.recent[e.topic].add(e.batch.Era, b)
 	if !r.forwards || (e.topic != platform.UpstreamsTopic && !r.large) {
 		return
 	}
 	to := slices.Concat(r.members, r.peers)
-	for _, l := range c.datagrams(now, e, records, r.large) {
-		l.Grace, l.Age = grace, sinceBoot()-e.began
+	for _, l := range c.datagrams(now, e.topic, e.batch.Era, b, r.large) {
+		l.Age = sinceBoot() - e.began
 		c.sendAll(to, l)
 	}
 	if e.topic == platform.UpstreamsTopic && r.large {
@@ -167,8 +168,7 @@
 		if f.down.Load() || f.follows.Load() {
 			continue
 		}
-		position := recordsRead{topic: t, from: next, batch: platform.Batch{Era: c.storeEra.topics[t], Next: next}}
-		for _, l := range c.datagrams(now, position, nil, true) {
+		for _, l := range c.datagrams(now, t, c.storeEra.topics[t], batch{from: next, next: next}, true) {
 			c.sendAll(to, l)
 		}
 	}
@@ -180,18 +180,19 @@
 
 // datagrams returns what is forwarded after a read: the records, after those that were forwarded
 // last, or the position alone if that is too much.
-func (c *control) datagrams(now time.Time, e recordsRead, records []platform.Record, large bool) []forwardedRecords {
+func (c *control) datagrams(now time.Time, topic platform.Topic, era int64, b batch, large bool) []forwardedRecords {
 	if !large {
-		return splitRecords(e, records)
+		return b.split(topic, era)
 	}
-	if list := splitRecords(c.withLast(now, e, records)); len(list) <= maxDatagrams {
-		return list
+	if last, ok := c.recent[topic].before(now, era, b.from); ok {
+		if list := last.join(now, b).split(topic, era); len(list) <= maxDatagrams {
+			return list
+		}
 	}
-	if list := splitRecords(e, records); len(list) <= maxDatagrams {
+	if list := b.split(topic, era); len(list) <= maxDatagrams {
 		return list
 	}
-	e.from = e.batch.Next
-	return splitRecords(e, nil)
+	return batch{from: b.next, next: b.next}.split(topic, era)
 }
 
 // batch is what a VM has read of a topic at once.
@@ -199,6 +200,23 @@
 	from, next int64
 	records    []platform.Record // without those that change nothing
 	at         time.Time
+	recovered  bool          // earlier reads had failed
+	grace      time.Duration // see forwardedRecords.Grace
+}
+
+// aged returns the batch as it is later: the upstreams have had some of the time to register again.
+func (b batch) aged(now time.Time) batch {
+	b.grace, b.at = max(b.grace-now.Sub(b.at), 0), now
+	return b
+}
+
+// join returns the batch with one that was read right after it.
+func (b batch) join(now time.Time, next batch) batch {
+	b, next = b.aged(now), next.aged(now)
+	return batch{
+		from: b.from, next: next.next, records: slices.Concat(b.records, next.records), at: now,
+		recovered: b.recovered || next.recovered, grace: max(b.grace, next.grace),
+	}
 }
 
 // recent is what a VM has read of a topic lately, without a gap, for VMs that have read a little less.
@@ -255,28 +273,18 @@
 
 // since returns what was read from an offset on, and where it ends. It returns false if some of
 // that is not kept.
-func (l *recent) since(era, from int64) (records []platform.Record, next int64, ok bool) {
+func (l *recent) since(now time.Time, era, from int64) (batch, bool) {
 	if len(l.batches) == 0 || era != l.era || from < l.batches[0].from {
-		return nil, 0, false
+		return batch{}, false
 	}
+	all := batch{from: from, next: from, at: now}
 	for _, b := range l.batches {
-		next = b.next
-		for _, r := range b.records {
-			if r.Offset >= from {
-				records = append(records, r)
-			}
+		if b.next > from {
+			all = all.join(now, b)
 		}
 	}
-	return records, next, from <= next
-}
-
-// withLast puts what this VM forwarded last before what it has read now: other VMs that read by
-// themselves, as all do at a start, may have read a little less than this one.
-func (c *control) withLast(now time.Time, e recordsRead, records []platform.Record) (recordsRead, []platform.Record) {
-	if last, ok := c.recent[e.topic].before(now, e.batch.Era, e.from); ok {
-		e.from, records = last.from, slices.Concat(last.records, records)
-	}
-	return e, records
+	all.records = slices.DeleteFunc(all.records, func(r platform.Record) bool { return r.Offset < from })
+	return all, from <= l.batches[len(l.batches)-1].next
 }
 
 // relay sends records that another forwarder has read to the other members of this VM's group.
@@ -296,7 +304,7 @@
 	if !c.role.forwards || !c.role.large || l.Topic == platform.OperatorTopic {
 		return
 	}
-	for _, d := range c.datagrams(now, recordsRead{topic: l.Topic, from: l.From, batch: platform.Batch{Era: l.Era, Next: l.Next}}, l.Records, true) {
+	for _, d := range c.datagrams(now, l.Topic, l.Era, l.batch(now, l.From, l.Records), true) {
 		d.Relayed = true
 		c.sendAll(c.role.members, d)
 	}
@@ -308,14 +316,19 @@
 	}
 }
 
-// splitRecords divides records into datagrams. A record that is too large for a
+// batch returns the records as this VM has got them from an offset on.
+func (l *forwardedRecords) batch(now time.Time, from int64, records []platform.Record) batch {
+	return batch{from: from, next: l.Next, records: records, at: now, recovered: l.Recovered, grace: l.Grace}
+}
+
+// split divides what was read into datagrams. A record that is too large for a
 // datagram is dropped together with all records before it. The members then detect
 // a gap and read the store themselves.
-func splitRecords(e recordsRead, records []platform.Record) []forwardedRecords {
-	empty := forwardedRecords{Topic: e.topic, Era: e.batch.Era, From: e.from, Next: e.batch.Next, Recovered: e.recovered}
+func (b batch) split(topic platform.Topic, era int64) []forwardedRecords {
+	empty := forwardedRecords{Topic: topic, Era: era, From: b.from, Next: b.next, Recovered: b.recovered, Grace: b.grace}
 	list := []forwardedRecords{empty}
 	size := 0
-	for _, r := range records {
+	for _, r := range b.records {
 		bytes := len(r.Key) + len(r.Value)
 		last := &list[len(list)-1]
 		switch {
@@ -366,7 +379,7 @@
 	}
 	c.relay(now, *l, received)
 	news := slices.DeleteFunc(slices.Clone(l.Records), func(r platform.Record) bool { return r.Offset < known })
-	c.recent[l.Topic].add(l.Era, batch{from: known, next: l.Next, records: news, at: now})
+	c.recent[l.Topic].add(l.Era, l.batch(now, known, news))
 	c.applyRecords(now, l.Topic, news, readOrigin{recovered: l.Recovered, grace: l.Grace})
 	c.advanceOffset(now, l.Topic, l.Next, 0)
 	if l.Topic == platform.UpstreamsTopic {
--- a/internal/edge/forward_test.go
+++ b/internal/edge/forward_test.go
@@ -27,7 +27,7 @@
 	for i := range 40 {
 		records = append(records, platform.Record{Offset: int64(10 + 2*i), Key: fmt.Sprint("key", i), Value: make([]byte, 20*i)})
 	}
-	list := splitRecords(recordsRead{topic: platform.FleetTopic, from: 5, batch: platform.Batch{Next: 100}}, records)
+	list := batch{from: 5, next: 100, records: records}.split(platform.FleetTopic, 0)
 	is.Equal(list[0].From, int64(5))
 	is.Equal(list[len(list)-1].Next, int64(100))
 	count := 0
@@ -48,9 +48,9 @@
 // members of the group must detect the gap.
 func TestLargeRecordLeavesAGap(t *testing.T) {
 	is := is.New(t)
-	list := splitRecords(recordsRead{topic: platform.OperatorTopic, from: 5, batch: platform.Batch{Next: 9}}, []platform.Record{
+	list := batch{from: 5, next: 9, records: []platform.Record{
 		{Offset: 5, Key: "a"}, {Offset: 6, Key: "config", Value: make([]byte, 5000)}, {Offset: 7, Key: "b"},
-	})
+	}}.split(platform.OperatorTopic, 0)
 	f := &feed{next: 5}
 	for _, l := range list {
 		is.True(!f.skipTo(start, l.Era, l.From, l.Next))
@@ -215,12 +215,13 @@
 		return platform.Record{Offset: offset, Key: fmt.Sprint("u", offset), Value: emul.PlainEntry("s", fmt.Sprintf("127.0.0.1:%d", 100+offset), 1, false)}
 	}
 	c.recent[platform.UpstreamsTopic].add(0, batch{from: 0, next: 3, records: []platform.Record{entry(0), entry(1), entry(2)}, at: start})
-	second := recordsRead{topic: platform.UpstreamsTopic, from: 3, batch: platform.Batch{Next: 4}}
-	e, records := c.withLast(start.Add(time.Second), second, []platform.Record{entry(3)})
-	is.Equal(e.from, int64(0))
-	is.Equal(len(records), 4)
-	later, _ := c.withLast(start.Add(resendTime+time.Second), second, nil)
-	is.Equal(later.from, int64(3))
+	second := batch{from: 3, next: 4, records: []platform.Record{entry(3)}}
+	list := c.datagrams(start.Add(time.Second), platform.UpstreamsTopic, 0, second, true)
+	is.Equal(len(list), 1)
+	is.Equal(list[0].From, int64(0))
+	is.Equal(len(list[0].Records), 4)
+	later := c.datagrams(start.Add(resendTime+time.Second), platform.UpstreamsTopic, 0, second, true)
+	is.Equal(later[0].From, int64(3))
 
 	member := newGroupControl(40, "vm-003")
 	member.metrics, member.versions, member.roster, member.poison = c.metrics, c.versions, roster.New(), newPoison()
@@ -228,7 +229,7 @@
 	f := &feed{topic: platform.UpstreamsTopic, next: 2}
 	member.feeds, member.storeEra.topics[platform.UpstreamsTopic] = map[platform.Topic]*feed{platform.UpstreamsTopic: f}, 0
 	member.upstreamsOffset, member.reconcileAfter = 2, start.Add(time.Hour)
-	member.applyForwarded(t.Context(), start, peer, &forwardedRecords{Topic: platform.UpstreamsTopic, From: e.from, Next: 4, Records: records})
+	member.applyForwarded(t.Context(), start, peer, &list[0])
 	is.Equal(f.offset(), int64(4))
 	_, known := member.roster.Get("u2")
 	is.True(known)
@@ -338,32 +339,33 @@
 	l.add(2, batch{from: 3, next: 6, records: []platform.Record{record(4), record(5)}, at: start})
 	l.add(2, batch{from: 6, next: 7, records: []platform.Record{record(6)}, at: start.Add(time.Second)})
 	l.add(2, batch{from: 7, next: 7, at: start.Add(time.Second)})
-	records, next, ok := l.since(2, 5)
+	now := start.Add(time.Second)
+	b, ok := l.since(now, 2, 5)
 	is.True(ok)
-	is.Equal(records, []platform.Record{record(5), record(6)})
-	is.Equal(next, int64(7))
+	is.Equal(b.records, []platform.Record{record(5), record(6)})
+	is.Equal(b.next, int64(7))
 	for _, c := range []struct {
 		name      string
 		era, from int64
 	}{{"older than what is kept", 2, 2}, {"not read yet", 2, 8}, {"another era", 1, 5}} {
-		_, _, ok := l.since(c.era, c.from)
+		_, ok := l.since(now, c.era, c.from)
 		is.True(!ok) // c.name
 	}
 	l.add(2, batch{from: 9, next: 10, at: start.Add(2 * time.Second)}) // 7 and 8 are missing
-	_, _, ok = l.since(2, 6)
+	_, ok = l.since(now, 2, 6)
 	is.True(!ok)
 	l.add(2, batch{from: 10, next: 11, at: start.Add(2*time.Second + recentTime + 1)})
-	_, _, ok = l.since(2, 9)
+	_, ok = l.since(now, 2, 9)
 	is.True(!ok) // too old
 
 	c := newGroupControl(40, "vm-000")
 	c.recent[platform.FleetTopic].add(0, batch{from: 3, next: 6, records: []platform.Record{record(4), record(5)}, at: start})
 	reply := make(chan lentRecords, 1)
-	c.lendRecords(recordsRequest{topic: platform.FleetTopic, from: 5, reply: reply})
+	c.lendRecords(start, recordsRequest{topic: platform.FleetTopic, from: 5, reply: reply})
 	lent := <-reply
 	is.True(lent.known)
 	is.Equal(lent.records.Records, []platform.Record{record(5)})
-	c.lendRecords(recordsRequest{topic: platform.FleetTopic, from: 2, reply: reply})
+	c.lendRecords(start, recordsRequest{topic: platform.FleetTopic, from: 2, reply: reply})
 	is.True(!(<-reply).known)
 }
 
@@ -378,9 +380,6 @@
 		}
 		return list
 	}
-	read := func(from, next int64) recordsRead {
-		return recordsRead{topic: platform.FleetTopic, from: from, batch: platform.Batch{Next: next}}
-	}
 	c.recent[platform.FleetTopic].add(0, batch{from: 2, next: 6, records: records(2, 6), at: start})
 	for _, d := range []struct {
 		name      string
@@ -394,7 +393,7 @@
 	} {
 		t.Run(d.name, func(t *testing.T) {
 			is := is.New(t)
-			list := c.datagrams(start, read(6, d.next), records(6, d.next), true)
+			list := c.datagrams(start, platform.FleetTopic, 0, batch{from: 6, next: d.next, records: records(6, d.next)}, true)
 			is.Equal(len(list), d.datagrams)
 			is.Equal(list[0].From, d.from)
 			is.Equal(list[len(list)-1].Next, d.next)
@@ -418,7 +417,7 @@
 	is.Equal(c.feeds[platform.FleetTopic].offset(), int64(5))
 	is.Equal(receivePacket(t, member).Records.Next, int64(5)) // its group hears of them
 	reply := make(chan lentRecords, 1)
-	c.lendRecords(recordsRequest{topic: platform.FleetTopic, from: 3, reply: reply})
+	c.lendRecords(start, recordsRequest{topic: platform.FleetTopic, from: 3, reply: reply})
 	lent := <-reply
 	is.True(lent.known)
 	is.Equal(lent.records.Records, records)
@@ -434,7 +433,7 @@
 	_, ok := l.before(start, 0, 1)
 	is.True(!ok)
 	// The record is not left out of what is forwarded: those that lack it find a gap.
-	list := c.datagrams(start, recordsRead{topic: platform.OperatorTopic, from: 1, batch: platform.Batch{Next: 1}}, nil, true)
+	list := c.datagrams(start, platform.OperatorTopic, 0, batch{from: 1, next: 1}, true)
 	is.Equal(len(list), 1)
 	is.Equal(list[0].From, int64(1))
 }
@@ -474,3 +473,37 @@
 	c.reviewPositions(start.Add(3 * positionInterval))
 	is.Equal(received()[platform.FleetTopic], int64(9))
 }
+
+// Guards against upstreams that are held to be gone at once, as their entries lapsed in an outage of
+// the store: VMs that get what another one has read after it late, or fetch it, must give them the
+// time to register again that is left.
+func TestTimeToRegisterAgainIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	c := newGroupControl(40, "vm-000")
+	lapsed := platform.Record{Offset: 3, Key: "u"}
+	read := batch{from: 3, next: 4, records: []platform.Record{lapsed}, at: start, recovered: true, grace: reregisterGrace}
+	c.recent[platform.UpstreamsTopic].add(0, read)
+	later := start.Add(time.Second)
+	list := c.datagrams(later, platform.UpstreamsTopic, 0, batch{from: 4, next: 5, at: later}, true)
+	is.Equal(list[0].From, int64(3))
+	is.True(list[0].Recovered)
+	is.Equal(list[0].Grace, reregisterGrace-time.Second)
+
+	reply := make(chan lentRecords, 1)
+	c.lendRecords(later, recordsRequest{topic: platform.UpstreamsTopic, from: 3, reply: reply})
+	lent := (<-reply).records
+	is.True(lent.Recovered)
+	is.Equal(lent.Grace, reregisterGrace-time.Second)
+
+	member := newGroupControl(40, "vm-003")
+	member.metrics, member.roster, member.poison = metric.New(), roster.New(), newPoison()
+	member.newest = map[platform.Topic]map[string]platform.Record{}
+	member.feeds = map[platform.Topic]*feed{platform.UpstreamsTopic: {topic: platform.UpstreamsTopic, next: 3}}
+	member.storeEra.topics[platform.UpstreamsTopic], member.reconcileAfter = 0, start.Add(time.Hour)
+	up, err := platform.DecodeUpstream(platform.Record{Key: "u", Value: emul.PlainEntry("s", "127.0.0.1:9", 1, false)})
+	is.NoErr(err)
+	member.roster.Apply(up)
+	member.applyFetched(t.Context(), later, recordsFetched{topic: platform.UpstreamsTopic, records: lent})
+	is.Equal(len(member.roster.Expire(later.Add(reregisterGrace-time.Second-1))), 0)
+	is.Equal(len(member.roster.Expire(later.Add(reregisterGrace-time.Second+1))), 1)
+}
