fix(edge): a call that probes the store waits for no records

Change: such a call does not wait for records. Test: TestCallThatProbesTheStoreDoesNotWaitForRecords (failed before: waitMs 20000).

--- a/internal/edge/feed.go
+++ b/internal/edge/feed.go
@@ -90,7 +90,7 @@
 			return
 		}
 		next, began := f.offset(), sinceBoot()
-		batch, requested, err := f.fetch(ctx, next)
+		batch, requested, err := f.fetch(ctx, next, call)
 		backoff := f.breaker.end(time.Now(), call, resultOf(err), f.backoff())
 		switch {
 		case errors.Is(err, platform.ErrTrimmed):
@@ -298,10 +298,10 @@
 var errRestarted = errors.New("read was canceled to restart it")
 
 // fetch lists the whole topic if next is negative, and otherwise reads records
-// from the offset next on. It also returns whether the read was requested by
-// refresh.
-func (f *feed) fetch(ctx context.Context, next int64) (platform.Batch, bool, error) {
-	bounded, wait, requested := f.beginRead(ctx, next < 0)
+// from the offset next on. A read that is to find out whether the store answers waits for no
+// records, since others wait for it. It also returns whether the read was requested by refresh.
+func (f *feed) fetch(ctx context.Context, next int64, call storeCall) (platform.Batch, bool, error) {
+	bounded, wait, requested := f.beginRead(ctx, next < 0 || call.probe)
 	defer f.endRead()
 	var batch platform.Batch
 	var err error
@@ -320,7 +320,7 @@
 // whether refresh requested it. A read that waits may be interrupted until its response begins:
 // its connection may be dead without an error. Any other read runs until it ends or stalls, or
 // it would never end if it took longer than the time between two requests for it.
-func (f *feed) beginRead(ctx context.Context, listing bool) (context.Context, time.Duration, bool) {
+func (f *feed) beginRead(ctx context.Context, prompt bool) (context.Context, time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.cancel != nil {
@@ -331,7 +331,7 @@
 	requested := f.requested
 	f.requested = false
 	wait := f.wait
-	if requested || listing || f.follows.Load() {
+	if requested || prompt || f.follows.Load() {
 		wait = 0
 	}
 	f.reads++
--- a/internal/edge/feed_test.go
+++ b/internal/edge/feed_test.go
@@ -100,3 +100,33 @@
 	is.Equal(len(read.batch.Records), 1)
 	is.Equal(<-waits, "") // it does not wait for records
 }
+
+// Guards against readers that are held back for as long as the call that is to find out whether the
+// store answers again waits for records (a VM that read nothing for 20 s after it was cut off from the
+// store, and used an upstream that had left).
+func TestCallThatProbesTheStoreDoesNotWaitForRecords(t *testing.T) {
+	is := is.New(t)
+	var reads atomic.Int64
+	waits := make(chan string, 10)
+	f, _ := newTestFeed(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == listPath {
+			_, _ = w.Write([]byte(emptyListing))
+			return
+		}
+		if reads.Add(1) <= breakerFailures {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		waits <- r.URL.Query().Get("waitMs")
+		if r.URL.Query().Get("waitMs") != "" {
+			<-r.Context().Done()
+			return
+		}
+		_, _ = w.Write(make([]byte, 16)) // no records
+	})
+	go f.loop(t.Context())
+	is.Equal(<-waits, "")
+	is.True(<-waits != "") // the next one does
+	call, ok, _, _ := f.breaker.begin(time.Now())
+	is.True(ok && !call.probe)
+}
