--- a/review/stand/deadly.go
+++ b/review/stand/deadly.go
@@ -19,7 +19,7 @@
 
 const (
 	// crashAfter is how long a replica runs a deadly request before it crashes.
-	crashAfter = 60 * time.Millisecond
+	crashAfter = 90 * time.Millisecond
 	// backAfter is how long a replica is away after a crash.
 	backAfter = 2500 * time.Millisecond
 	// lateAfter is bounds.stableWindowMs.
@@ -281,4 +281,4 @@
 }
 
 // repeatEvery is the time between two repeats of a request.
-const repeatEvery = 25 * time.Millisecond
+const repeatEvery = 20 * time.Millisecond
