fix(link): a request is not sent twice on one connection

What callers saw: an upstream rejected a request that is not idempotent (503, Not-Executed) and was asked again.

Cause: a faulty upstream's second copy of the rejection arrives where the answer to the next request on the connection is expected. Answers are matched by the request's id. The pool gave the second send the connection of the first one, and the copy bears the right id.

The id is the only thing that told two sends apart, and it cannot. Ruled out: copies on other connections (none is sent there), and copies that arrive while a connection is idle (the pool closes such a connection before it is used again).

Change: an exchange remembers the connections on which its request was sent (link.Sends), and the pool gives it another one. This holds for plain services, for engines that are asked once more after a 421, and for a safe request's next attempt after an error answer. The connections stay in the pool for other requests, whose ids differ.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -129,8 +130,23 @@
 	Body        []byte
 	MaxIdleTime time.Duration // maximum time since the last use of a pooled connection; 0 for no limit
 	Confirm     func() error  // called when a connection is open; an error keeps the request from being sent; nil for no check
+	Sends       *Sends        // earlier sends of the same request; nil if it is sent once only
 }
 
+// Sends records the connections on which a request was sent. Pool.Do sends it on none of them
+// again: a late copy of an answer to an earlier send bears the same id as the answer to a later
+// one. The zero value is that of a request that was not sent yet. It is not safe for concurrent
+// use.
+type Sends struct{ conns []*conn }
+
+func (s *Sends) add(c *conn) {
+	if s != nil {
+		s.conns = append(s.conns, c)
+	}
+}
+
+func (s *Sends) contains(c *conn) bool { return s != nil && slices.Contains(s.conns, c) }
+
 // Exchange is a request that was sent, with its answer. Close must be called when
 // the answer has been read or is no longer needed.
 type Exchange struct {
@@ -146,7 +162,7 @@
 // of the answer have arrived. When ctx ends, the connection is closed, even while
 // the body of the answer is being read. Errors wrap ErrNotSent or ErrBroken.
 func (p *Pool) Do(ctx context.Context, address netip.AddrPort, r Request) (*Exchange, error) {
-	c, err := p.take(ctx, address, r.MaxIdleTime)
+	c, err := p.take(ctx, address, r)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -157,6 +173,7 @@
 		}
 	}
 	x := &Exchange{pool: p, address: address, conn: c, sent: make(chan error, 1)}
+	r.Sends.add(c)
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	w := &sender{conn: c, data: r.encode(), sent: x.sent}
 	if len(r.Body) <= bufferSize {
@@ -245,25 +262,36 @@
 	return x.pool.config.IdleTimeout
 }
 
-// take returns an idle connection to the upstream, or opens a new connection. It
-// closes the idle connections that it finds unusable, expired or idle for too long.
-func (p *Pool) take(ctx context.Context, address netip.AddrPort, maxIdleTime time.Duration) (*conn, error) {
-	now := time.Now()
+// take returns an idle connection to the upstream on which the request may be sent, or opens a
+// new connection.
+func (p *Pool) take(ctx context.Context, address netip.AddrPort, r Request) (*conn, error) {
+	if c := p.takeIdle(time.Now(), address, r); c != nil {
+		return c, nil
+	}
+	return p.open(ctx, address)
+}
+
+// takeIdle returns the idle connection to the upstream that was used last and on which the
+// request may be sent, or nil. It closes the connections that it finds unusable, expired or idle
+// for too long.
+func (p *Pool) takeIdle(now time.Time, address netip.AddrPort, r Request) *conn {
 	p.mu.Lock()
-	var c *conn
-	for conns := p.idle[address]; len(conns) > 0 && c == nil; conns = p.idle[address] {
-		c = conns[len(conns)-1]
-		p.idle[address] = conns[:len(conns)-1]
-		if now.After(c.expires) || (maxIdleTime > 0 && now.Sub(c.lastUsed) > maxIdleTime) || !c.usable() {
+	defer p.mu.Unlock()
+	conns := p.idle[address]
+	for i := len(conns) - 1; i >= 0; i-- {
+		c := conns[i]
+		if r.Sends.contains(c) {
+			continue
+		}
+		conns = slices.Delete(conns, i, i+1)
+		p.idle[address] = conns
+		if now.After(c.expires) || (r.MaxIdleTime > 0 && now.Sub(c.lastUsed) > r.MaxIdleTime) || !c.usable() {
 			_ = c.Close()
-			c = nil
+			continue
 		}
+		return c
 	}
-	p.mu.Unlock()
-	if c != nil {
-		return c, nil
-	}
-	return p.open(ctx, address)
+	return nil
 }
 
 // open opens a connection to the upstream.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -184,6 +184,7 @@
 	ctx         context.Context //nolint:containedctx // has the lifetime of the request
 	view        *View           // at the arrival of the request; its configuration applies until the end
 	sends       int             // number of times that the request was sent to an upstream
+	sentOn      link.Sends      // connections on which it was sent
 	run         *sentRun        // last run
 	mayHaveRun  bool            // an upstream may have run the request
 	headersSent bool            // status and headers were written to the caller
@@ -297,7 +298,7 @@
 	return link.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: platform.ForwardHeader(x.r.Header, o), Body: x.body,
-		Confirm: func() error { return x.confirm(u) },
+		Confirm: func() error { return x.confirm(u) }, Sends: &x.sentOn,
 	}
 }
 
