fix(relay): the connection of an answer without an id is not reused

A copy of an answer that has none was taken for the answer to whatever request came next on the connection (MIXED), and a copy of a request's 421 for the answer to a health check: "another process uses the address", which counts as a crash of the upstream.

Change: the connection of an answer without an id, also of a health check, is closed; an answer with an id is no answer to a health check, which is repeated as one that got none.

TestLateCopyWithoutAnIDIsNoAnswer ("first" instead of "second") and the case "copy of a request's answer" of TestCheckTellsAnotherProcessAtTheAddress failed before.

--- a/internal/edge/identity.go
+++ b/internal/edge/identity.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -16,9 +15,6 @@
 // upstream may answer later.
 const checkTimeout = 2 * dialTimeout
 
-// maxHealthBytes bounds the part of the body of a health check's response that is read.
-const maxHealthBytes = 4 << 10
-
 var (
 	// errReplaced is the error of a check of an upstream whose address another process uses.
 	errReplaced = errors.New("another process uses the address")
@@ -47,9 +43,13 @@
 	case err != nil:
 		return errNoAnswer
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(e.Response.Body, maxHealthBytes))
-	e.Close(time.Now(), err == nil && n < maxHealthBytes)
-	if platform.AnsweredByAnother(u.ID, e.Response.StatusCode, e.Response.Header) {
+	// The connection is not reused: a late copy of the answer, which has no id, could not be told
+	// from the answer to the next request.
+	e.Close(time.Now(), false)
+	switch reply := platform.ParseResponse(e.Response.StatusCode, e.Response.Header); {
+	case reply.ID != "": // a late copy of the answer to an earlier request on the connection
+		return errNoAnswer
+	case platform.AnsweredByAnother(u.ID, e.Response.StatusCode, e.Response.Header):
 		return errReplaced
 	}
 	return nil
--- a/internal/edge/identity_test.go
+++ b/internal/edge/identity_test.go
@@ -16,7 +16,8 @@
 )
 
 // Guards against a crash that is not learned of because another process uses the address by
-// the time of the check.
+// the time of the check, and against a late copy of a request's answer that is taken for that of
+// the check.
 func TestCheckTellsAnotherProcessAtTheAddress(t *testing.T) {
 	const path = "/health"
 	for _, c := range []struct {
@@ -31,6 +32,10 @@
 		{"no answer in time", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, path, false, true},
 		{"another one", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }, path, true, false},
 		{"another one, which answers", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Instance-Id", "v") }, path, true, false},
+		{"copy of a request's answer", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Request-Id", "r1")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		}, path, false, true},
 		{"no health check", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }, "", false, false},
 		{"no process", nil, path, true, false},
 	} {
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tanagerlb/tanagerlb/internal/link"
+	"github.com/tanagerlb/tanagerlb/platform"
 )
 
 const (
@@ -22,6 +23,17 @@
 
 var errAnswerTooLong = errors.New("answer is too long")
 
+// isAnswer reports whether an answer belongs to the request: it has the request's id or none. The
+// connection of an answer without an id is not reused, as a late copy of it could not be told
+// from the answer to the next request.
+func (x *exchange) isAnswer(e *link.Exchange, reply platform.ResponseInfo) bool {
+	if reply.ID == "" {
+		e.Response.Close = true
+		return true
+	}
+	return reply.ID == x.call.ID
+}
+
 // readAnswer reads the body of an answer that is not streamed, and ends the exchange.
 func (x *exchange) readAnswer(e *link.Exchange) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(e.Response.Body, shortAnswerBytes))
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -173,7 +173,7 @@
 	}
 	run.note(time.Now())
 	reply := platform.ParseResponse(e.Response.StatusCode, e.Response.Header)
-	if reply.ID != "" && reply.ID != x.call.ID {
+	if !x.isAnswer(e, reply) {
 		e.Close(time.Now(), false)
 		return x.handleBroken(slot, "answer to another request")
 	}
