fix(relay): callers are told for how long a connection is kept

What callers saw: now and then a connection that was closed as idle just when they used it again, and no answer.

Cause: the platform's pages say that callers use a connection again for up to four fifths of the idle timeout. The VM closes after 15 to 16 s and never told them.

Change: answers state the time in Keep-Alive, four fifths of the timeout. After a shorter one is configured, connections are kept for as long as the one before told callers.

--- a/internal/edge/conns.go
+++ b/internal/edge/conns.go
@@ -47,7 +47,7 @@
 }
 
 // sweep closes the connections that exceed the limits at now, and returns how many
-// it closed. grace is how long callers may still go by limits that were replaced.
+// it closed. grace is how long a configuration may take to be in force everywhere.
 func (c *conns) sweep(now time.Time, limits route.Limits, grace time.Duration) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -61,8 +61,9 @@
 	return count
 }
 
-// timeout is a configured timeout. A shorter one applies after a grace, since callers that do
-// not know it yet may still use connections that it would close.
+// timeout is a configured timeout. A shorter one applies late, since callers may still use
+// connections that it would close: they go by the one before, which the last answer on a
+// connection told them.
 type timeout struct {
 	value     time.Duration // applied at present; 0 for none
 	shortened time.Time     // when a shorter one was configured; zero if none is
@@ -70,7 +71,7 @@
 }
 
 // set tells which timeout is configured at now, and returns the one to apply: the longest one
-// that was configured within the grace.
+// that was configured within the grace and within its own time.
 func (t *timeout) set(now time.Time, configured, grace time.Duration) time.Duration {
 	if !shorter(configured, t.value) {
 		*t = timeout{value: configured}
@@ -82,7 +83,7 @@
 	if shorter(t.next, configured) {
 		t.next = configured
 	}
-	if now.Sub(t.shortened) >= grace {
+	if now.Sub(t.shortened) >= max(grace, t.value) {
 		*t = timeout{value: t.next}
 		return t.set(now, configured, grace)
 	}
--- a/internal/edge/conns_test.go
+++ b/internal/edge/conns_test.go
@@ -161,30 +161,36 @@
 
 // Guards against connections that are closed while callers may still go by the timeout that the
 // configuration had before.
-func TestShorterTimeoutAppliesAfterAGrace(t *testing.T) {
-	const grace = 2 * time.Second
+func TestShorterTimeoutAppliesLate(t *testing.T) {
+	const grace, short, long = 2 * time.Second, time.Second, 5 * time.Second
+	type change struct {
+		at         time.Duration
+		configured time.Duration
+	}
 	start := time.Now()
 	for _, c := range []struct {
-		name       string
-		configured []time.Duration // one a second
-		applied    time.Duration   // after the last one
+		name    string
+		before  time.Duration
+		changes []change
+		at      time.Duration
+		applied time.Duration
 	}{
-		{"first", []time.Duration{5 * time.Second}, 0},
-		{"after the grace", []time.Duration{15 * time.Second, 15 * time.Second, 15 * time.Second}, 15 * time.Second},
-		{"longer", []time.Duration{5 * time.Second, 5 * time.Second, 5 * time.Second, 15 * time.Second}, 15 * time.Second},
-		{"shorter", []time.Duration{0, 0, 15 * time.Second, 15 * time.Second, 15 * time.Second, 5 * time.Second, 5 * time.Second}, 15 * time.Second},
-		{"shorter for long", []time.Duration{15 * time.Second, 15 * time.Second, 15 * time.Second, 5 * time.Second, 5 * time.Second, 5 * time.Second}, 5 * time.Second},
-		{"shorter twice", []time.Duration{15 * time.Second, 15 * time.Second, 15 * time.Second, 5 * time.Second, 5 * time.Second, time.Second}, 5 * time.Second},
-		{"shorter for a moment", []time.Duration{15 * time.Second, 15 * time.Second, 15 * time.Second, 5 * time.Second, 15 * time.Second, 5 * time.Second, 5 * time.Second}, 15 * time.Second},
-		{"no longer", []time.Duration{5 * time.Second, 5 * time.Second, 5 * time.Second, 0}, 0},
+		{"first", 0, []change{{0, long}}, grace - 1, 0},
+		{"first, after the grace", 0, []change{{0, long}}, grace, long},
+		{"longer", short, []change{{0, long}}, 0, long},
+		{"none", short, []change{{0, 0}}, 0, 0},
+		{"shorter", long, []change{{0, short}}, long - 1, long},
+		{"shorter, after the time of the one before", long, []change{{0, short}}, long, short},
+		{"shorter, after the grace", short, []change{{0, short / 2}}, grace, short / 2},
+		{"shorter again", long, []change{{0, 2 * short}, {long - 1, short}}, long, 2 * short},
+		{"shorter for a moment", long, []change{{0, short}, {1, long}, {2, short}}, long, long},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			var limit timeout
-			applied := time.Duration(-1)
-			for i, configured := range c.configured {
-				applied = limit.set(start.Add(time.Duration(i)*time.Second), configured, grace)
+			limit := timeout{value: c.before}
+			for _, change := range c.changes {
+				limit.set(start.Add(change.at), change.configured, grace)
 			}
-			is.New(t).Equal(applied, c.applied)
+			is.New(t).Equal(limit.set(start.Add(c.at), c.changes[len(c.changes)-1].configured, grace), c.applied)
 		})
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -200,10 +200,8 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
-	if h.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	x := &exchange{Handler: h, w: w, r: r, call: platform.ParseCall(r.Header), started: time.Now(), view: h.config.View()}
+	x.announceIdleTime()
 	if x.view.Table == nil {
 		x.refuse("no configuration yet", retryAfter)
 		return
@@ -234,6 +232,27 @@
 	x.serve()
 }
 
+// idleTimeShare is the share of the idle timeout for which callers may keep a connection idle. In
+// the rest of it, a request that they send at the last moment arrives.
+const idleTimeShare = 0.8
+
+// announceIdleTime tells the caller for how long the connection may be used again, in whole
+// seconds, or that it will be closed.
+func (x *exchange) announceIdleTime() {
+	h := x.w.Header()
+	if x.draining.Load() {
+		h.Set("Connection", "close")
+		h.Del("Keep-Alive")
+		return
+	}
+	if x.view.Table == nil {
+		return
+	}
+	if seconds := int(idleTimeShare * x.view.Table.Limits.IdleTimeout.Seconds()); seconds > 0 {
+		h.Set("Keep-Alive", "timeout="+strconv.Itoa(seconds))
+	}
+}
+
 // headerSize returns the size of the request line and the headers in bytes.
 func headerSize(r *http.Request) int {
 	const line, field = len("  HTTP/1.1\r\n"), len(": \r\n")
@@ -487,7 +506,5 @@
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // keeps net/http from guessing a content type
 	}
-	if x.draining.Load() {
-		h.Set("Connection", "close")
-	}
+	x.announceIdleTime()
 }
