fix(relay,edge): a VM that leaves passes on only what it can answer

It can happen here: a request whose head has come by the time that the VM stops listening, 3 s after the SIGTERM, and whose body comes later, was passed on and cut 0.7 s before the end of the grace.

Change: a request that has arrived as a whole after the time in which the VM takes requests is refused at once, so that the caller tries another VM. What is in progress gets its final answer before the process ends, and its deadline at the upstream is no later. Both times are shares of the grace if it is short.

--- a/internal/edge/conns.go
+++ b/internal/edge/conns.go
@@ -31,7 +31,7 @@
 	}
 	switch s {
 	case http.StateNew:
-		t.enter(time.Now(), phaseWaiting)
+		t.enter(time.Now(), phaseNew)
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.open[t] = struct{}{}
@@ -61,6 +61,23 @@
 	return count
 }
 
+// newConnTime is how long a new connection is left open for its first request while the VM leaves.
+const newConnTime = 500 * time.Millisecond
+
+// leave closes the connections on which no request is in progress at now, and returns how many
+// are left.
+func (c *conns) leave(now time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	left := 0
+	for conn := range c.open {
+		if !conn.closeWaiting(now, newConnTime) {
+			left++
+		}
+	}
+	return left
+}
+
 // timeout is a configured timeout. A shorter one applies late, since callers may still use
 // connections that it would close: they go by the one before, which the last answer on a
 // connection told them.
@@ -98,7 +115,8 @@
 
 // Phases of a connection.
 const (
-	phaseWaiting phase = iota // for the first byte of a request
+	phaseNew     phase = iota // for the first byte of its first request
+	phaseWaiting              // for the first byte of another request
 	phaseReading              // for the rest of a request's headers, or for the server to parse them
 	phaseHandled              // for the answer
 	phaseClosed               // closed by sweep
@@ -129,7 +147,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch t.phase {
-	case phaseWaiting:
+	case phaseNew, phaseWaiting:
 		t.phase, t.since = phaseReading, time.Now()
 	case phaseClosed:
 		return 0, net.ErrClosed // the request could not be answered
@@ -146,13 +164,36 @@
 	defer t.mu.Unlock()
 	limit := time.Duration(0)
 	switch t.phase {
-	case phaseWaiting:
+	case phaseNew, phaseWaiting:
 		limit = idle
 	case phaseReading:
 		limit = header
 	case phaseHandled, phaseClosed:
 	}
-	if limit <= 0 || now.Sub(t.since) <= limit || t.hasUnread() {
+	return limit > 0 && now.Sub(t.since) > limit && t.closeUnlessUnread()
+}
+
+// closeWaiting closes the connection if it waits for a request and nothing has arrived that was
+// not read yet; if it is new, only after a time. It reports whether the connection is closed.
+func (t *trackedConn) closeWaiting(now time.Time, newTime time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch t.phase {
+	case phaseNew:
+		return now.Sub(t.since) > newTime && t.closeUnlessUnread()
+	case phaseWaiting:
+		return t.closeUnlessUnread()
+	case phaseReading, phaseHandled:
+		return false
+	case phaseClosed:
+	}
+	return true
+}
+
+// closeUnlessUnread closes the connection unless bytes have arrived that were not read yet, and
+// reports whether it did. t.mu is locked.
+func (t *trackedConn) closeUnlessUnread() bool {
+	if t.hasUnread() {
 		return false
 	}
 	t.phase = phaseClosed
--- a/internal/edge/conns_test.go
+++ b/internal/edge/conns_test.go
@@ -65,7 +65,7 @@
 	for conn := range c.open {
 		conn.mu.Lock()
 		defer conn.mu.Unlock()
-		return conn.phase == phaseReading && part || conn.phase == phaseWaiting && !part
+		return conn.phase == phaseReading && part || conn.phase <= phaseWaiting && !part
 	}
 	return false
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -51,8 +51,12 @@
 	maxIdleTime        = 2 * time.Minute         // longest idle timeout of a caller's connection that a configuration may allow
 	eventBuffer        = 1024                    // capacity of the control loop's event channel
 	directoryTTL       = 2 * time.Second         // time for which callers may cache a directory response
-	closeReserve       = 700 * time.Millisecond  // part of Bounds.Grace that is kept for closing what is still open
-	lingerTime         = 3 * time.Second         // time for which a leaving VM still accepts callers, which may have cached an old directory response
+	lingerTime         = 3 * time.Second         // longest time for which a leaving VM still takes requests: callers may have cached an old directory response
+	lingerShare        = 3. / 8                  // largest part of Bounds.Grace for the same; the rest is for requests in progress
+	closeReserve       = 700 * time.Millisecond  // time before the end of Bounds.Grace at which requests in progress are answered
+	closeShare         = 1. / 8                  // largest part of Bounds.Grace for the same
+	answerTime         = 200 * time.Millisecond  // time in which these answers are written
+	leaveInterval      = 20 * time.Millisecond   // interval at which a leaving VM closes connections that have become idle
 )
 
 // VM is a running entry VM: it serves callers' requests and schedules the engines
@@ -67,7 +71,8 @@
 	transport *transport
 	servers   []*http.Server
 	callers   *http.Server
-	conns     *conns // connections of callers
+	listener  net.Listener // of callers
+	conns     *conns       // connections of callers
 	cancel    context.CancelFunc
 }
 
@@ -302,6 +307,7 @@
 		}
 		if i.server == v.callers {
 			listener = trackedListener{listener}
+			v.listener = listener
 		}
 		v.servers = append(v.servers, i.server)
 		go (&serveJob{server: i.server, listener: listener, logger: v.logger}).run()
@@ -316,7 +322,7 @@
 }
 
 func (s *serveJob) run() {
-	if err := s.server.Serve(s.listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := s.server.Serve(s.listener); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		s.logger.Error("vm: cannot serve", zap.Stringer("address", s.listener.Addr()), zap.Error(err))
 	}
 }
@@ -363,20 +369,32 @@
 
 func (v *VM) serveMetrics(w http.ResponseWriter, _ *http.Request) { v.metrics.Write(w) }
 
+// drainOf returns how a VM leaves from now on, if its process may run on for a time.
+func drainOf(now time.Time, grace time.Duration) relay.Drain {
+	return relay.Drain{
+		TakeUntil: now.Add(min(lingerTime, time.Duration(lingerShare*float64(grace)))),
+		EndAt:     now.Add(grace - min(closeReserve, time.Duration(closeShare*float64(grace)))),
+	}
+}
+
 // Shutdown leaves the fleet. It directs callers to other VMs and lets requests
 // in progress finish, as far as the platform's shutdown time (Bounds.Grace)
-// allows.
+// allows. Requests that are not finished by then get a final answer.
 func (v *VM) Shutdown(now time.Time) {
-	end := now.Add(v.settings.Load().Bounds.Grace - closeReserve)
+	drain := drainOf(now, v.settings.Load().Bounds.Grace)
 	v.control.post(leave{})
-	v.handler.StartDrain()
-	for linger := now.Add(lingerTime); time.Now().Before(linger); {
+	v.handler.StartDrain(now, drain)
+	for time.Now().Before(drain.TakeUntil) {
 		time.Sleep(retryBackoff)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	if err := v.callers.Shutdown(ctx); err != nil {
-		v.logger.Warn("vm: shutdown time is over; closing connections with requests in progress", zap.Int64("active", v.handler.Active()), zap.Error(err))
+	_ = v.listener.Close() // callers see that it is closed
+	// http.Server.Shutdown would also close connections on which a request has just arrived.
+	left := v.conns.leave(time.Now())
+	for end := drain.EndAt.Add(answerTime); left > 0 && time.Now().Before(end); left = v.conns.leave(time.Now()) {
+		time.Sleep(leaveInterval)
+	}
+	if left > 0 {
+		v.logger.Warn("vm: shutdown time is over; closing connections with requests in progress", zap.Int64("active", v.handler.Active()), zap.Int("connections", left))
 	}
 	v.Close()
 	v.logger.Info("vm: stopped", zap.Duration("after", time.Since(now)))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -121,7 +121,9 @@
 // upstreams and the retry budgets of the services.
 type Handler struct {
 	config      Config
-	draining    atomic.Bool
+	drain       atomic.Pointer[Drain] // nil unless the VM leaves
+	ending      context.Context       //nolint:containedctx // done when requests in progress are to be answered
+	end         context.CancelFunc    // ends ending
 	active      atomic.Int64
 	mu          sync.Mutex
 	tracker     *health.Tracker
@@ -134,12 +136,22 @@
 
 // New returns a handler that has not yet recorded the results of any upstream.
 func New(c Config) *Handler {
-	return &Handler{config: c, tracker: health.New(c.Health), budget: retry.New(time.Now(), c.Retries), lifeSigns: lifeSigns{started: time.Now(), at: map[string]*lifeSign{}}, longAnswers: semaphore.NewWeighted(maxLongAnswers)}
+	ending, end := context.WithCancel(context.Background())
+	return &Handler{config: c, ending: ending, end: end, tracker: health.New(c.Health), budget: retry.New(time.Now(), c.Retries), lifeSigns: lifeSigns{started: time.Now(), at: map[string]*lifeSign{}}, longAnswers: semaphore.NewWeighted(maxLongAnswers)}
+}
+
+// Drain tells how a VM leaves.
+type Drain struct {
+	TakeUntil time.Time // requests that have arrived by then are forwarded, later ones are refused
+	EndAt     time.Time // requests that are still in progress then are answered at once
 }
 
 // StartDrain makes the handler close the caller's connection after each further
 // answer, so that callers reconnect to another VM.
-func (h *Handler) StartDrain() { h.draining.Store(true) }
+func (h *Handler) StartDrain(now time.Time, d Drain) {
+	h.drain.Store(&d)
+	time.AfterFunc(d.EndAt.Sub(now), h.end)
+}
 
 // Active returns the number of requests in progress.
 func (h *Handler) Active() int64 { return h.active.Load() }
@@ -226,12 +238,28 @@
 		x.refuse("service is not configured", retryAfter)
 		return
 	}
-	if !x.readBody() || x.refuseArrived() {
+	if !x.readBody() || x.refuseLate(time.Now()) || x.refuseArrived() {
 		return
 	}
 	x.serve()
 }
 
+// reasonLeaving is the reason with which a request is refused that arrives too late at a VM that
+// leaves.
+const reasonLeaving = "VM is leaving"
+
+// refuseLate refuses the request if the VM leaves and the request, which has arrived as a whole,
+// is too late to be forwarded. It reports whether the request was refused. The caller may try
+// another VM at once.
+func (x *exchange) refuseLate(now time.Time) bool {
+	d := x.drain.Load()
+	if d == nil || !now.After(d.TakeUntil) {
+		return false
+	}
+	x.refuse(reasonLeaving, 0)
+	return true
+}
+
 // idleTimeShare is the share of the idle timeout for which callers may keep a connection idle. In
 // the rest of it, a request that they send at the last moment arrives.
 const idleTimeShare = 0.8
@@ -240,7 +268,7 @@
 // seconds, or that it will be closed.
 func (x *exchange) announceIdleTime() {
 	h := x.w.Header()
-	if x.draining.Load() {
+	if x.drain.Load() != nil {
 		h.Set("Connection", "close")
 		h.Del("Keep-Alive")
 		return
@@ -269,8 +297,12 @@
 func (x *exchange) serve() {
 	timeout := x.call.Timeout(x.route.Timeout, defaultTimeout)
 	x.deadline = x.started.Add(timeout - answerMargin)
+	if d := x.drain.Load(); d != nil {
+		x.deadline = earlier(x.deadline, d.EndAt)
+	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
+	defer context.AfterFunc(x.ending, cancel)()
 	x.ctx = ctx
 	x.creditBudget()
 	if x.service.Engine != nil {
