fix(edge,platform): an entry that states a start in the future names no upstream

But one with a start time in the future was taken for a restart. Under the id of a running upstream, all its true entries after that counted as those of earlier runs, also that of a real restart; under another id at its address, the running upstream counted as one whose address was used again, for as long as the odd entry stood.

Cause: the start time is the only thing that orders the runs of an upstream, it is stated by the writer, and nothing bounded it.

--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"net/netip"
 	"slices"
 	"strings"
@@ -209,6 +211,22 @@
 	}
 }
 
+// maxClockSkew is how far the time of day of an upstream may be ahead of this VM's.
+const maxClockSkew = time.Minute
+
+// errStartsLater is the error of an entry of an upstream that starts in the future.
+var errStartsLater = errors.New("upstream starts later")
+
+// decodeUpstream decodes an upstream's entry. One with a start time in the future is invalid: all
+// later entries of the upstream would count as those of earlier runs.
+func decodeUpstream(now time.Time, r platform.Record) (roster.Upstream, error) {
+	u, err := platform.DecodeUpstream(r)
+	if err == nil && time.UnixMilli(u.StartTime).After(now.Add(maxClockSkew)) {
+		err = fmt.Errorf("%w: %s at %d", errStartsLater, r.Key, u.StartTime)
+	}
+	return u, err //nolint:wrapcheck // names the entry
+}
+
 // applyUpstream applies an upstream's entry, and reports whether to forward it: whether it
 // differs from the entry before it in the store. What it changes in this VM's roster does
 // not matter, as other VMs may know less: this VM may have read the same before the store
@@ -218,7 +236,7 @@
 		c.markMissing(now, r.Key, grace)
 		return c.roster.NoteEntry(r.Key, nil)
 	}
-	u, err := platform.DecodeUpstream(r)
+	u, err := decodeUpstream(now, r)
 	if err != nil {
 		c.metrics.RecordIgnored("upstreams")
 		c.logger.Info("upstream: entry is ignored", zap.Int64("offset", r.Offset), zap.Error(err))
