fix(link): a late copy of an earlier answer is skipped, and the own answer is read

What callers saw: 502 instead of an answer that their upstream gave.

Cause: an answer to another request ended the exchange. The platform's pages say that an extra answer may come where the next one is expected, and that its id tells; the next answer on the connection is then the request's own.

Change: on a connection that was used before, up to four whole answers with the id of another request are read and dropped before the answer. One that is not framed, that closes the connection, that is long, or that comes on a new connection ends the exchange as before; so does an answer without an id after one that was dropped. relay: skipped answers to earlier requests.

--- a/internal/edge/identity.go
+++ b/internal/edge/identity.go
@@ -36,6 +36,7 @@
 	defer cancel()
 	e, err := c.pool.Do(ctx, u.Address, link.Request{
 		Method: http.MethodGet, Target: healthPath, Host: u.Address.String(), Header: platform.HealthHeader(u.ID),
+		IsAnswer: func(h http.Header) bool { return platform.ResponseID(h) == "" },
 	})
 	switch {
 	case errors.Is(err, link.ErrNotSent):
@@ -46,8 +47,8 @@
 	// The connection is not reused: a late copy of the answer, which has no id, could not be told
 	// from the answer to the next request.
 	e.Close(time.Now(), false)
-	switch reply := platform.ParseResponse(e.Response.StatusCode, e.Response.Header); {
-	case reply.ID != "": // a late copy of the answer to an earlier request on the connection
+	switch {
+	case platform.ResponseID(e.Response.Header) != "": // an answer to an earlier request on the connection
 		return errNoAnswer
 	case platform.AnsweredByAnother(u.ID, e.Response.StatusCode, e.Response.Header):
 		return errReplaced
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -55,6 +56,7 @@
 	net.Conn
 	reader   *bufio.Reader
 	headLeft int       // number of bytes that may still be read before the head of the answer ends; negative after that
+	used     bool      // a request was sent on this connection
 	lastUsed time.Time // end of the last answer on this connection
 	expires  time.Time // time after which this connection must not be reused
 }
@@ -131,6 +133,9 @@
 	MaxIdleTime time.Duration // maximum time since the last use of a pooled connection; 0 for no limit
 	Confirm     func() error  // called when a connection is open; an error keeps the request from being sent; nil for no check
 	Sends       *Sends        // earlier sends of the same request; nil if it is sent once only
+	// IsAnswer tells by the headers of an answer whether it belongs to the request. Do skips late
+	// copies of answers to earlier requests on the connection; nil for no check.
+	IsAnswer func(http.Header) bool
 }
 
 // Sends records the connections on which a request was sent. Pool.Do sends it on none of them
@@ -151,6 +156,7 @@
 // the answer has been read or is no longer needed.
 type Exchange struct {
 	Response *http.Response
+	Skipped  int // number of answers to earlier requests that came first
 	pool     *Pool
 	address  netip.AddrPort
 	conn     *conn
@@ -173,6 +179,8 @@
 		}
 	}
 	x := &Exchange{pool: p, address: address, conn: c, sent: make(chan error, 1)}
+	reused := c.used
+	c.used = true
 	r.Sends.add(c)
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	w := &sender{conn: c, data: r.encode(), sent: x.sent}
@@ -183,11 +191,12 @@
 		// read while the body is sent.
 		go w.run()
 	}
-	request := &http.Request{Method: r.Method, URL: &url.URL{Path: "/"}}
-	c.headLeft = maxHeadBytes
-	x.Response, err = http.ReadResponse(c.reader, request) //nolint:bodyclose // by Close
-	for err == nil && x.Response.StatusCode < http.StatusOK {
-		x.Response, err = http.ReadResponse(c.reader, request) //nolint:bodyclose // by Close
+	x.Response, err = c.readResponse(r.Method)
+	for err == nil && reused && x.Skipped < maxSkipped && r.skips(x.Response) {
+		x.Skipped++
+		if err = skip(x.Response); err == nil {
+			x.Response, err = c.readResponse(r.Method)
+		}
 	}
 	if err != nil {
 		x.stop()
@@ -197,10 +206,48 @@
 		}
 		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
-	c.headLeft = -1
 	return x, nil
 }
 
+// skips reports whether an answer belongs to an earlier request and another one may follow.
+func (r *Request) skips(answer *http.Response) bool {
+	return r.IsAnswer != nil && !r.IsAnswer(answer.Header) && !answer.Close && IsFramed(answer)
+}
+
+// readResponse reads the head of the next answer that is not informational.
+func (c *conn) readResponse(method string) (*http.Response, error) {
+	request := &http.Request{Method: method, URL: &url.URL{Path: "/"}}
+	c.headLeft = maxHeadBytes
+	defer func() { c.headLeft = -1 }()
+	for {
+		response, err := http.ReadResponse(c.reader, request)
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err //nolint:wrapcheck // by Do
+		}
+	}
+}
+
+const (
+	// maxSkipped bounds the answers to earlier requests that are skipped.
+	maxSkipped = 4
+	// maxSkippedBytes bounds the body of one of them.
+	maxSkippedBytes = 64 << 10
+)
+
+var errSkippedTooLong = errors.New("answer to an earlier request is too long")
+
+// IsFramed reports whether the end of an answer's body is marked, by its length or its chunks.
+func IsFramed(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
+
+// skip reads the body of an answer that is not needed.
+func skip(r *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxSkippedBytes+1))
+	if err == nil && n > maxSkippedBytes {
+		err = errSkippedTooLong
+	}
+	return err //nolint:wrapcheck // by Do
+}
+
 // sender writes an encoded request to a connection.
 type sender struct {
 	conn net.Conn
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -38,6 +38,12 @@
 // UpstreamLeft counts a request whose upstream had left by the time of the send.
 func (s *Set) UpstreamLeft(service string) { s.count("left_upstreams", "service", service) }
 
+// AnswersSkipped counts answers of an upstream that came when the answer to a later request was
+// expected.
+func (s *Set) AnswersSkipped(count int) {
+	s.set.GetOrCreateCounter("tanagerlb_skipped_answers_total").Add(count)
+}
+
 // Answered counts a request that was answered completely, by its kind.
 func (s *Set) Answered(kind string) { s.count("done", "kind", kind) }
 
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -6,7 +6,10 @@
 	"io"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/tanagerlb/tanagerlb/internal/link"
+	"github.com/tanagerlb/tanagerlb/pkg/roster"
 	"github.com/tanagerlb/tanagerlb/platform"
 )
 
@@ -26,8 +29,12 @@
 // isAnswer reports whether an answer belongs to the request: it has the request's id or none. The
 // connection of an answer without an id is not reused, as a late copy of it could not be told
 // from the answer to the next request.
-func (x *exchange) isAnswer(e *link.Exchange, reply platform.ResponseInfo) bool {
-	if reply.ID == "" {
+func (x *exchange) isAnswer(u roster.Upstream, e *link.Exchange, reply platform.ResponseInfo) bool {
+	if e.Skipped > 0 {
+		x.config.Metrics.AnswersSkipped(e.Skipped)
+		x.config.Logger.Info("relay: skipped answers to earlier requests", zap.String("request", x.call.ID), zap.String("upstream", u.ID), zap.Int("answers", e.Skipped))
+	}
+	if reply.ID == "" && e.Skipped == 0 {
 		e.Response.Close = true
 		return true
 	}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -143,7 +143,7 @@
 	}
 	run.note(time.Now())
 	reply := platform.ParseResponse(e.Response.StatusCode, e.Response.Header)
-	if !x.isAnswer(e, reply) {
+	if !x.isAnswer(u, e, reply) {
 		e.Close(time.Now(), false)
 		return result{outcome: health.Failed, reason: "answer to another request", status: http.StatusBadGateway}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -350,6 +350,7 @@
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: platform.ForwardHeader(x.r.Header, o), Body: x.body,
 		Confirm: func() error { return x.confirm(u) }, Sends: &x.sentOn,
+		IsAnswer: func(h http.Header) bool { id := platform.ResponseID(h); return id == "" || id == x.call.ID },
 	}
 }
 
@@ -505,7 +506,7 @@
 	if response.StatusCode < http.StatusInternalServerError { // otherwise it may have failed before it ran
 		x.config.CrashTracker.ReportCompleted(time.Now(), CompletedRun{
 			Request: x.call.ID, Causes: x.cleared(response.StatusCode), Caller: x.caller(), Upstream: x.run.upstream, Sent: x.run.sent,
-			Status: response.StatusCode, Framed: isFramed(response),
+			Status: response.StatusCode, Framed: link.IsFramed(response),
 		})
 	}
 	x.logAnswered(upstream, response)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -173,7 +173,7 @@
 	}
 	run.note(time.Now())
 	reply := platform.ParseResponse(e.Response.StatusCode, e.Response.Header)
-	if !x.isAnswer(e, reply) {
+	if !x.isAnswer(slot.Upstream, e, reply) {
 		e.Close(time.Now(), false)
 		return x.handleBroken(slot, "answer to another request")
 	}
@@ -352,12 +352,7 @@
 // its end is marked.
 func (x *exchange) resumedAtEnd(response *http.Response) bool {
 	resumed := x.lastID != "" || x.call.LastEventID != ""
-	return resumed && x.route.Resumable && isFramed(response)
-}
-
-// isFramed reports whether the end of an answer's body is marked, by its length or its chunks.
-func isFramed(response *http.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	return resumed && x.route.Resumable && link.IsFramed(response)
 }
 
 // sendComplete reads an answer with a status other than 200, which is not an event
