--- a/internal/edge/conns.go
+++ b/internal/edge/conns.go
@@ -197,7 +197,7 @@
 		return false
 	}
 	t.phase = phaseClosed
-	_ = t.Conn.Close() // the caller sees the connection close
+	_ = t.Close() // the caller sees the connection close
 	return true
 }
 
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -191,11 +191,11 @@
 		// read while the body is sent.
 		go w.run()
 	}
-	x.Response, err = c.readResponse(r.Method)
+	x.Response, err = c.readResponse(r.Method) //nolint:bodyclose // by Close
 	for err == nil && reused && x.Skipped < maxSkipped && r.skips(x.Response) {
 		x.Skipped++
 		if err = skip(x.Response); err == nil {
-			x.Response, err = c.readResponse(r.Method)
+			x.Response, err = c.readResponse(r.Method) //nolint:bodyclose // by Close
 		}
 	}
 	if err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -136,7 +136,7 @@
 
 // New returns a handler that has not yet recorded the results of any upstream.
 func New(c Config) *Handler {
-	ending, end := context.WithCancel(context.Background())
+	ending, end := context.WithCancel(context.Background()) //nolint:gosec // ended by StartDrain; it lasts as long as the handler
 	return &Handler{config: c, ending: ending, end: end, tracker: health.New(c.Health), budget: retry.New(time.Now(), c.Retries), lifeSigns: lifeSigns{started: time.Now(), at: map[string]*lifeSign{}}, longAnswers: semaphore.NewWeighted(maxLongAnswers)}
 }
 
