fix(relay,edge): streams that callers don't name are told apart by their prompts

Cause: who began a stream is recorded under the id of the caller's first attempt, which the header Resumes names; no page has it. Without it all streams shared the empty name.

Change: a stream without a name is never recorded, and it is known which version began it only if there is one. A stream is recorded by its prompt too, whose last part is the request's own, so that it goes on without that header.

--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -204,14 +204,16 @@
 	query := &originQuery{ID: o.sequence.Add(1), Stream: origin.KeyOf(stream), Service: service, MaxAge: maxAge}
 	own := o.lookUp(now, query)
 	answers := o.ask(ctx, query, own)
+	named := stream != ""
 	switch {
+	case !named:
 	case answers.newest != nil && answers.newest == own:
 		return relay.Found{Known: true, Software: own.Software, Source: "own"}
 	case answers.newest != nil:
 		return relay.Found{Known: true, Software: answers.newest.Software, Source: "vm"}
 	}
 	read := o.saver.load(ctx, now) && o.readSince(ctx, began)
-	if saved := o.lookUp(time.Now(), query); saved.Known {
+	if saved := o.lookUp(time.Now(), query); saved.Known && named {
 		return relay.Found{Known: true, Software: saved.Software, Source: "store"}
 	} else if read {
 		answers.add(saved.Versions)
--- a/internal/edge/origins_test.go
+++ b/internal/edge/origins_test.go
@@ -216,3 +216,29 @@
 		})
 	}
 }
+
+// Guards against streams that have no name and are taken for one another (review/2: ORDER).
+func TestStreamWithoutANameIsAnyStream(t *testing.T) {
+	v1, v2 := origin.Origin{Service: "lm", Software: "v1"}, origin.Origin{Service: "lm", Software: "v2"}
+	for _, c := range []struct {
+		name  string
+		began map[string]origin.Origin
+		known bool
+	}{
+		{"one version", map[string]origin.Origin{"s": v1}, true},
+		{"two versions", map[string]origin.Origin{"s": v1, "t": v2}, false},
+		{"two versions, noted by an earlier version of the VMs", map[string]origin.Origin{"": v1, "t": v2}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newOriginFleet(t, 5)
+			for stream, from := range c.began {
+				for _, vm := range f.list {
+					vm.note(time.Now(), origin.KeyOf(stream), from)
+				}
+			}
+			found := f.list[0].Find(t.Context(), "lm", "", time.Minute)
+			is.Equal(found.Known, c.known)
+		})
+	}
+}
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"cmp"
 	"context"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,7 +16,8 @@
 type Origins interface {
 	// Begin records who began a stream. It is called before an event of the stream is passed on.
 	Begin(now time.Time, stream string, o origin.Origin)
-	// Find returns who began a stream of a service. maxAge is how long ago that may have been.
+	// Find returns who began a stream of a service. maxAge is how long ago that may have been. A
+	// stream without an id is known only if all engines have had one version.
 	Find(ctx context.Context, service, stream string, maxAge time.Duration) Found
 }
 
@@ -50,9 +53,10 @@
 	if maxAge == 0 {
 		maxAge = defaultStreamAge
 	}
-	found := x.config.Origins.Find(x.ctx, x.service.Name, x.call.Stream, maxAge)
+	stream := cmp.Or(x.call.Stream, x.promptName())
+	found := x.config.Origins.Find(x.ctx, x.service.Name, stream, maxAge)
 	x.config.Metrics.StreamResumed(found.Source)
-	x.config.Logger.Info("relay: resumes a stream", zap.String("request", x.call.ID), zap.String("stream", x.call.Stream), zap.String("event", x.call.LastEventID),
+	x.config.Logger.Info("relay: resumes a stream", zap.String("request", x.call.ID), zap.String("stream", stream), zap.String("event", x.call.LastEventID),
 		zap.Bool("known", found.Known), zap.String("software", found.Software), zap.String("source", found.Source), zap.Duration("after", time.Since(x.started)))
 	if !found.Known {
 		x.refuse(reasonUnknownOrigin, retryAfter)
@@ -63,7 +67,8 @@
 }
 
 // noteOrigin records who began the stream, before its first event from an engine is passed on. A
-// stream that goes on is recorded again, as the VMs that knew it may be gone.
+// stream that goes on is recorded again, as the VMs that knew it may be gone. It is recorded by the
+// id of the caller's first attempt, and by its prompt, as callers need not name that attempt.
 func (x *exchange) noteOrigin(software string) {
 	if !x.route.Resumable || x.headersSent {
 		return
@@ -73,5 +78,18 @@
 	if x.call.LastEventID != "" {
 		stream = x.call.Stream
 	}
-	x.config.Origins.Begin(time.Now(), stream, origin.Origin{Service: x.service.Name, Software: software})
+	for _, name := range []string{stream, x.promptName()} {
+		if name != "" {
+			x.config.Origins.Begin(time.Now(), name, origin.Origin{Service: x.service.Name, Software: software})
+		}
+	}
+}
+
+// promptName returns a name of the stream that is the same for each of its caller's attempts, or ""
+// if there is none. The last part of a prompt is that of the request or its session alone.
+func (x *exchange) promptName() string {
+	if len(x.call.PromptParts) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("prompt %x %v %d %d", x.contentHash(), x.call.PromptParts, x.call.PromptTokens, x.call.MaxTokens)
 }
