fix(engine,edge): requests of a process that was killed free their places when its VM is back

Cause: the holder of an engine counts a request as running until the VM that sent it says that it has ended, or a second after its deadline. A killed process says nothing, so that engines looked full for 5 to 8 s. New requests went to engines whose holders had been killed too; a stream that is taken up may only use those with its version.

Change: the id of a slot request names the process that sent it, and a holder ends the requests of a process when gossip brings another start of its VM. Its connections to the engine are gone.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -150,6 +150,7 @@
 	roster          *roster.Table
 	fence           *fence.Table
 	gossip          *gossip.Table
+	running         map[string]gossip.VM // other VMs, as gossip had them last, by name
 	versions        map[engine.Name]engine.Version
 	versionNumbers  map[engine.Name]int64 // published version numbers; the map is replaced, never modified
 	versionsChanged bool                  // versions differ from versionNumbers
@@ -379,6 +380,7 @@
 		}
 		c.noteCrash(now, u.ID, now, learnedFromMissingEntry)
 	}
+	c.endRestarted()
 	for id, h := range c.held {
 		claim, ok := c.fence.Get(id)
 		u, known := c.roster.Get(id)
--- a/internal/edge/dispatcher.go
+++ b/internal/edge/dispatcher.go
@@ -443,9 +443,18 @@
 
 // newID returns a slot request ID that is unique among all VMs.
 func (d *dispatcher) newID() string {
-	return fmt.Sprintf("%s.%x.%x", d.self.Name, d.self.Boot, d.sequence.Add(1))
+	return fmt.Sprintf("%s%s%x", senderOf(d.self), idSeparator, d.sequence.Add(1))
 }
 
+// idSeparator separates the parts of the id of a slot request.
+const idSeparator = "."
+
+// senderOf returns what the ids of the slot requests of one run of a VM's process begin with.
+func senderOf(vm gossip.VM) string { return fmt.Sprintf("%s%s%x", vm.Name, idSeparator, vm.Boot) }
+
+// senderOfID returns which run of a VM's process sent a slot request.
+func senderOfID(id string) string { return id[:max(strings.LastIndex(id, idSeparator), 0)] }
+
 // await returns the final reply to a slot request, or nil if none came in time,
 // and whether the request is queued.
 func (d *dispatcher) await(ctx context.Context, replies <-chan *slotReply, interval time.Duration) (final *slotReply, queued bool) {
--- a/internal/edge/scheduling.go
+++ b/internal/edge/scheduling.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/tanagerlb/tanagerlb/pkg/engine"
+	"github.com/tanagerlb/tanagerlb/pkg/gossip"
 	"github.com/tanagerlb/tanagerlb/platform"
 )
 
@@ -99,7 +100,7 @@
 	name := engine.Name{Model: r.Model, Adapter: r.Adapter}
 	h.scheduler.SetNewest(name, engine.Version{Number: r.NewestVersion, Published: now})
 	d := h.scheduler.Admit(now, engine.Request{
-		ID: r.ID, Name: name, PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, PromptParts: r.PromptParts,
+		ID: r.ID, Sender: senderOfID(r.ID), Name: name, PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, PromptParts: r.PromptParts,
 		Urgency: r.Urgency, Objective: now.Add(r.Objective), UsefulUntil: now.Add(r.UsefulUntil), Deadline: now.Add(r.Deadline), MayQueue: r.MayQueue,
 		FirstChoice: r.FirstChoice, Spread: r.Spread,
 	})
@@ -115,6 +116,27 @@
 	c.schedule(ctx, now, r.Engine, h)
 }
 
+// endRestarted ends the requests of VMs whose processes have started anew, at the engines that this
+// VM holds: their connections to the engines are gone, and nobody else ends them before their
+// deadlines.
+func (c *control) endRestarted() {
+	running := make(map[string]gossip.VM, len(c.running))
+	for _, m := range c.gossip.Members() {
+		running[m.VM.Name] = m.VM
+		before, ok := c.running[m.VM.Name]
+		if !ok || before.Boot == m.VM.Boot {
+			continue
+		}
+		for id, h := range c.held {
+			if ended := h.scheduler.EndSender(senderOf(before)); ended > 0 {
+				c.logger.Info("engine: requests of an earlier process of a VM are ended", zap.String("upstream", id), zap.String("vm", m.VM.Name),
+					zap.Int64("boot", before.Boot), zap.Int("requests", ended))
+			}
+		}
+	}
+	c.running = running
+}
+
 // scheduleAll runs a scheduling round for all engines that this VM holds.
 func (c *control) scheduleAll(ctx context.Context, now time.Time) {
 	for id, h := range c.held {
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -44,6 +44,7 @@
 // Request is a request for admission to the engine.
 type Request struct {
 	ID           string
+	Sender       string // run of the process that sends the request to the engine
 	Name         Name
 	PromptTokens int
 	MaxTokens    int         // maximum number of tokens to generate
@@ -450,6 +451,22 @@
 	}
 }
 
+// EndSender removes the requests of a process that has ended, which cannot end them itself, and
+// returns how many were queued or in flight. The engine has dropped them with their connections.
+func (s *Scheduler) EndSender(sender string) int {
+	before := len(s.queue) + len(s.inflight)
+	s.queue = slices.DeleteFunc(s.queue, func(r *Request) bool { return r.Sender == sender })
+	for id, p := range s.inflight {
+		if p.Sender == sender {
+			s.release(p)
+			if s.probeID == id {
+				s.probeID = ""
+			}
+		}
+	}
+	return before - len(s.queue) - len(s.inflight)
+}
+
 func (s *Scheduler) resetFailures() { s.failures, s.probeID = 0, "" }
 
 // release removes a request from those in flight and frees the capacity that it
--- a/pkg/engine/engine_test.go
+++ b/pkg/engine/engine_test.go
@@ -449,3 +449,33 @@
 	}
 	is.True(early <= 6) // a few are too early until the load time is learned
 }
+
+// Guards against an engine that counts as full of requests whose VM has been killed, until their
+// deadlines (review/3: streams that are taken up again get no place).
+func TestRequestsOfAProcessThatHasEndedFreeTheirPlaces(t *testing.T) {
+	is := is.New(t)
+	e := reportedEngine(roster.Adapter{Name: "a", Version: 1})
+	send := func(id, sender string) engine.Decision {
+		r := request(id, "a", start)
+		r.Sender = sender
+		return e.Admit(start, r)
+	}
+	for i := range config().BatchSize {
+		_, admitted := send(strconv.Itoa(i), []string{"b", "c"}[i%2]).(engine.Admitted)
+		is.True(admitted)
+	}
+	_, queued := send("queued", "b").(engine.Queued)
+	is.True(queued)
+	_, queued = send("waits", "c").(engine.Queued)
+	is.True(queued)
+	is.Equal(e.EndSender("b"), config().BatchSize/2+1)
+	is.Equal(e.EndSender("b"), 0)
+	var granted []string
+	for _, a := range e.Next(start) {
+		if r, ok := a.(engine.Reply); ok {
+			granted = append(granted, r.ID)
+		}
+	}
+	is.Equal(granted, []string{"waits"})
+	is.Equal(e.Usage(start).Running, config().BatchSize/2+1)
+}
