--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -52,9 +52,9 @@
 	eventBuffer        = 1024                    // capacity of the control loop's event channel
 	directoryTTL       = 2 * time.Second         // time for which callers may cache a directory response
 	lingerTime         = 3 * time.Second         // longest time for which a leaving VM still takes requests: callers may have cached an old directory response
-	lingerShare        = 3. / 8                  // largest part of Bounds.Grace for the same; the rest is for requests in progress
+	lingerShare        = 0.375                   // largest part of Bounds.Grace for the same; the rest is for requests in progress
 	closeReserve       = 700 * time.Millisecond  // time before the end of Bounds.Grace at which requests in progress are answered
-	closeShare         = 1. / 8                  // largest part of Bounds.Grace for the same
+	closeShare         = 0.125                   // largest part of Bounds.Grace for the same
 	answerTime         = 200 * time.Millisecond  // time in which these answers are written
 	leaveInterval      = 20 * time.Millisecond   // interval at which a leaving VM closes connections that have become idle
 )
@@ -279,7 +279,7 @@
 	s := v.settings.Load()
 	v.callers = &http.Server{
 		Handler: v.handler, ReadHeaderTimeout: maxHeaderTime, IdleTimeout: maxIdleTime, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: v.conns.trackState,
+		ConnState: v.conns.trackState, BaseContext: v.handler.BaseContext,
 		ErrorLog:  zap.NewStdLog(v.logger),
 	}
 	ready := http.NewServeMux()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -122,8 +123,8 @@
 type Handler struct {
 	config      Config
 	drain       atomic.Pointer[Drain] // nil unless the VM leaves
-	ending      context.Context       //nolint:containedctx // done when requests in progress are to be answered
-	end         context.CancelFunc    // ends ending
+	base        context.Context       //nolint:containedctx // parent of the requests' contexts; see BaseContext
+	end         context.CancelCauseFunc
 	active      atomic.Int64
 	mu          sync.Mutex
 	tracker     *health.Tracker
@@ -136,8 +137,8 @@
 
 // New returns a handler that has not yet recorded the results of any upstream.
 func New(c Config) *Handler {
-	ending, end := context.WithCancel(context.Background()) //nolint:gosec // ended by StartDrain; it lasts as long as the handler
-	return &Handler{config: c, ending: ending, end: end, tracker: health.New(c.Health), budget: retry.New(time.Now(), c.Retries), lifeSigns: lifeSigns{started: time.Now(), at: map[string]*lifeSign{}}, longAnswers: semaphore.NewWeighted(maxLongAnswers)}
+	base, end := context.WithCancelCause(context.Background())
+	return &Handler{config: c, base: base, end: end, tracker: health.New(c.Health), budget: retry.New(time.Now(), c.Retries), lifeSigns: lifeSigns{started: time.Now(), at: map[string]*lifeSign{}}, longAnswers: semaphore.NewWeighted(maxLongAnswers)}
 }
 
 // Drain tells how a VM leaves.
@@ -150,9 +151,15 @@
 // answer, so that callers reconnect to another VM.
 func (h *Handler) StartDrain(now time.Time, d Drain) {
 	h.drain.Store(&d)
-	time.AfterFunc(d.EndAt.Sub(now), h.end)
+	time.AfterFunc(d.EndAt.Sub(now), func() { h.end(errEnding) })
 }
 
+// errEnding is why the contexts of requests end that are in progress at Drain.EndAt.
+var errEnding = errors.New("process is about to end")
+
+// BaseContext is the http.Server.BaseContext of the server that calls the handler.
+func (h *Handler) BaseContext(net.Listener) context.Context { return h.base }
+
 // Active returns the number of requests in progress.
 func (h *Handler) Active() int64 { return h.active.Load() }
 
@@ -302,7 +309,6 @@
 	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
-	defer context.AfterFunc(x.ending, cancel)()
 	x.ctx = ctx
 	x.creditBudget()
 	if x.service.Engine != nil {
@@ -427,7 +433,10 @@
 }
 
 // callerGone reports whether the caller disconnected.
-func (x *exchange) callerGone() bool { return x.r.Context().Err() != nil }
+func (x *exchange) callerGone() bool {
+	ctx := x.r.Context()
+	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), errEnding)
+}
 
 // abandon aborts a request whose caller disconnected. It panics with
 // http.ErrAbortHandler, so it does not return.
@@ -436,8 +445,8 @@
 	panic(http.ErrAbortHandler)
 }
 
-// ctxDone reports whether the request's deadline passed or its caller
-// disconnected.
+// ctxDone reports whether the request's deadline passed, its caller disconnected, or the process
+// is about to end.
 func (x *exchange) ctxDone() bool { return x.ctx.Err() != nil }
 
 // refuse answers 503 with Retry-After, which tells the caller that no upstream ran
@@ -539,5 +548,7 @@
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // keeps net/http from guessing a content type
 	}
-	x.announceIdleTime()
+	if x.drain.Load() != nil { // it may have begun meanwhile
+		x.announceIdleTime()
+	}
 }
