--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -280,7 +280,7 @@
 	v.callers = &http.Server{
 		Handler: v.handler, ReadHeaderTimeout: maxHeaderTime, IdleTimeout: maxIdleTime, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: v.conns.trackState, BaseContext: v.handler.BaseContext,
-		ErrorLog:  zap.NewStdLog(v.logger),
+		ErrorLog: zap.NewStdLog(v.logger),
 	}
 	ready := http.NewServeMux()
 	ready.HandleFunc(platform.ReadyPath, v.ready)
