fix(edge): what a VM has seen to run to its end outlives it

Cause: a part that all prompts share is in each crash, whatever crashed the engine. Only a whole answer with it tells that it is sound. The VM that had seen one told the others that it had seen whole answers, so that they no longer took themselves for cold, but not with which parts. When it was killed before they asked it, they blocked the part.

Change: probes tell twice a second, and eight times in a row at first, the four parts and the four requests with which most requests ran to their end at the sender. It is not told on, so that a proof ends with the VM that keeps seeing it.

Without the change TestProofOutlivesTheVMThatHasIt and TestRequestThatEndsWellElsewhereIsHarmless fail. Probes grow by 72 bytes twice a second.

--- a/internal/edge/crash_tracker.go
+++ b/internal/edge/crash_tracker.go
@@ -79,7 +79,7 @@
 // ReportWriting implements relay.CrashTracker.
 func (t crashTracker) ReportWriting(now time.Time, r relay.CompletedRun) {
 	p := t.control.poison
-	p.whole.add(now, r.Causes)
+	p.whole.add(now, crash.Prints(r.Causes))
 	if t.isSuspected(r.Causes) {
 		t.control.post(requestCompleted{r})
 	}
--- a/internal/edge/eras_test.go
+++ b/internal/edge/eras_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/tanagerlb/tanagerlb/internal/testlib"
+	"github.com/tanagerlb/tanagerlb/pkg/crash"
 	"github.com/tanagerlb/tanagerlb/pkg/cursor"
 	"github.com/tanagerlb/tanagerlb/pkg/engine"
 	"github.com/tanagerlb/tanagerlb/pkg/fence"
@@ -362,7 +363,7 @@
 	is.True(a.save(t, now))
 	copied := time.Now()
 	time.Sleep(time.Millisecond)
-	a.poison.complete.add(now, causes(7))
+	a.poison.complete.add(now, []crash.Fingerprint{7})
 	a.noteCompleted(start, completed(7))
 	is.True(a.save(t, now.Add(5*time.Second)))
 	store.Restore(copied)
--- a/internal/edge/packet.go
+++ b/internal/edge/packet.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/tanagerlb/tanagerlb/pkg/call"
+	"github.com/tanagerlb/tanagerlb/pkg/crash"
 	"github.com/tanagerlb/tanagerlb/pkg/cursor"
 	"github.com/tanagerlb/tanagerlb/pkg/engine"
 	"github.com/tanagerlb/tanagerlb/pkg/gossip"
@@ -43,13 +44,14 @@
 // probe is a failure detector probe, or the reply to one. It carries membership
 // gossip.
 type probe struct {
-	From     gossip.Update   `msgpack:"f"`
-	Updates  []gossip.Update `msgpack:"n,omitempty"`
-	Reply    bool            `msgpack:"r,omitempty"` // this is the reply to a probe
-	Uptime   time.Duration   `msgpack:"u,omitempty"` // for how long the sender has read the store without a failure; 0 if its last read failed
-	ReadAge  time.Duration   `msgpack:"a,omitempty"` // time since its last read
-	Warm     bool            `msgpack:"w,omitempty"` // the sender has seen whole answers of engines shortly before
-	Operator cursor.Position `msgpack:"o"`           // newest era that the sender knows of, and the offset up to which it has read the operator topic
+	From     gossip.Update       `msgpack:"f"`
+	Updates  []gossip.Update     `msgpack:"n,omitempty"`
+	Reply    bool                `msgpack:"r,omitempty"` // this is the reply to a probe
+	Uptime   time.Duration       `msgpack:"u,omitempty"` // for how long the sender has read the store without a failure; 0 if its last read failed
+	ReadAge  time.Duration       `msgpack:"a,omitempty"` // time since its last read
+	Warm     bool                `msgpack:"w,omitempty"` // the sender has seen whole answers of engines shortly before
+	Proved   []crash.Fingerprint `msgpack:"p,omitempty"` // causes with which requests ran to their end at the sender
+	Operator cursor.Position     `msgpack:"o"`           // newest era that the sender knows of, and the offset up to which it has read the operator topic
 }
 
 // slotRequest asks the holder of an engine for a slot. Times are sent as remaining
--- a/internal/edge/parts.go
+++ b/internal/edge/parts.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +24,10 @@
 	// objectionTime is how long a VM waits before it blocks a part of prompts, for others that
 	// have seen whole answers with it.
 	objectionTime = 150 * time.Millisecond
+	// provedInterval is the interval at which a VM tells another one, with a probe, the causes
+	// with which most requests ran to their end. The first provedAtOnce probes all tell them.
+	provedInterval = 500 * time.Millisecond
+	provedAtOnce   = 8
 )
 
 // noteComplete notes that a request with these causes ran to its end, which proves that the
@@ -32,14 +37,46 @@
 	if parts < 0 {
 		parts = len(causes)
 	}
-	p.complete.add(now, causes[:parts])
-	p.whole.add(now, causes[parts:])
+	p.complete.add(now, crash.Prints(causes[:parts]))
+	p.whole.add(now, crash.Prints(causes[parts:]))
 }
 
 // isProved reports whether a cause is a part of prompts that was in a whole answer shortly
-// before: it cannot have crashed an upstream. All requests of a route may share it.
+// before, here or at another VM: it cannot have crashed an upstream. All requests of a route may
+// share it.
 func (p *poison) isProved(now time.Time, kind crash.Kind, f crash.Fingerprint) bool {
-	return kind == crash.Part && p.whole.has(now, f)
+	return kind == crash.Part && (p.whole.has(now, f) || p.told.has(now, f))
+}
+
+// isHarmless reports whether a request with a cause ran to its end shortly before, here or at
+// another VM.
+func (p *poison) isHarmless(now time.Time, f crash.Fingerprint) bool {
+	return p.complete.has(now, f) || p.told.has(now, f)
+}
+
+// proved returns what the next probe tells of the causes with which requests ran to their end
+// here: nothing most of the time, to save traffic.
+func (p *poison) proved(now time.Time) []crash.Fingerprint {
+	if p.provedSends >= provedAtOnce && now.Sub(p.provedAt) < provedInterval {
+		return nil
+	}
+	list := append(p.whole.mostFrequent(now), p.complete.mostFrequent(now)...)
+	if len(list) > 0 {
+		p.provedSends++
+		p.provedAt = now
+	}
+	return list
+}
+
+// noteProved notes causes with which requests ran to their end at another VM, which may be gone
+// when this one has to know. It forgets the crashes under parts of prompts.
+func (c *control) noteProved(now time.Time, from netip.AddrPort, list []crash.Fingerprint) {
+	c.poison.told.add(now, list)
+	for _, f := range list {
+		if runs := c.poison.tracker.Runs(f); len(runs) > 0 && runs[0].Kind == crash.Part {
+			c.clear(now, f, zap.Stringer("from", from))
+		}
+	}
 }
 
 // isCold reports whether no VM has seen a whole answer that could prove parts of prompts, as
--- a/internal/edge/parts_test.go
+++ b/internal/edge/parts_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -131,6 +132,82 @@
 	is.Equal(len(idle.restart(t, now).poison.tracker.Runs(poisonPart)), 3)
 }
 
+// Guards against the block of what all requests share because the VM that has seen whole answers
+// with it was killed before others asked it (soak seeds 2316 and 47112).
+func TestProofOutlivesTheVMThatHasIt(t *testing.T) {
+	is := is.New(t)
+	vms := newPeers(t, "a", "b", "c")
+	vms[2].complete(start, prompt(1, sharedPart))
+	vms[1].handleProbe(t.Context(), start, vms[2].self.Peer, vms[2].newProbe(start))
+	vms[2] = newPeer(t, "c") // has restarted
+	at := start
+	vm, tracker := vms[0], crashTracker{vms[0]}
+	vm.poison.warmAt = at // told by the killed one
+	for i := range 3 {
+		at = at.Add(time.Second)
+		for n := range 10 {
+			is.Equal(tracker.Admit(at, prompt(100*i+n, sharedPart)), relay.Block{})
+		}
+		vm.crashUnder(t, at, fmt.Sprint("e", i), prompt(10+i, sharedPart, poisonPart))
+	}
+	deliver(t, at, vms...)
+	at = at.Add(objectionTime)
+	vm.expirePoison(at)
+	is.Equal(tracker.Admit(at, prompt(50, sharedPart)), relay.Block{})
+	is.True(tracker.Admit(at, prompt(51, sharedPart, poisonPart)).Remaining > 0)
+}
+
+// Guards against the block of a list that all callers request, by a VM that has seen no whole
+// answer to it, since it ran at the crashes of others (soak seed 9042).
+func TestRequestThatEndsWellElsewhereIsHarmless(t *testing.T) {
+	is := is.New(t)
+	const list = 7
+	vms := newPeers(t, "a", "b")
+	for range 3 {
+		vms[1].complete(start, prompt(list))
+	}
+	for i := range 100 {
+		vms[1].complete(start, prompt(1000+i))
+	}
+	vm := vms[0]
+	vm.handleProbe(t.Context(), start, vms[1].self.Peer, vms[1].newProbe(start))
+	at := start
+	for i := range 3 {
+		at = at.Add(time.Second)
+		vm.crashUnder(t, at, fmt.Sprint("e", i), prompt(list), prompt(10+i))
+	}
+	is.Equal(crashTracker{vm}.Admit(at, prompt(list)), relay.Block{})
+}
+
+// Guards against probes that grow with the number of requests.
+func TestProbesTellTheMostFrequentCauses(t *testing.T) {
+	is := is.New(t)
+	var runs completions
+	at := start
+	for i := range 1000 {
+		runs.add(at, []crash.Fingerprint{crash.Fingerprint(i + 10), crash.Fingerprint(i % 2)})
+	}
+	list := runs.mostFrequent(at)
+	is.Equal(len(list), maxFrequent)
+	is.True(slices.Contains(list, 0))
+	is.True(slices.Contains(list, 1))
+	at = at.Add(completionTime)
+	runs.add(at, []crash.Fingerprint{5})
+	list = runs.mostFrequent(at)
+	is.Equal(len(list), maxFrequent)
+	is.True(slices.Contains(list, 5))
+	is.Equal(len(runs.mostFrequent(at.Add(3*completionTime))), 0)
+
+	vm := loneVM()
+	is.Equal(len(vm.poison.proved(start)), 0)
+	vm.complete(start, prompt(1, sharedPart))
+	for range provedAtOnce {
+		is.True(slices.Contains(vm.poison.proved(start), sharedPart))
+	}
+	is.Equal(vm.poison.proved(start.Add(provedInterval-1)), nil)
+	is.True(slices.Contains(vm.poison.proved(start.Add(provedInterval)), sharedPart))
+}
+
 // A VM that starts knows of the crashes under a part.
 func TestCountOfAPartOutlivesTheVMs(t *testing.T) {
 	is := is.New(t)
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -186,11 +186,16 @@
 	cleared  map[crash.Fingerprint]time.Time // causes that were found not to be to blame, and when
 	complete completions                     // requests
 	whole    completions                     // parts of prompts
+	told     completions                     // requests and parts of prompts, at other VMs
 	arrivals arrivals                        // of requests, by part of their prompts
 	// objections has the parts that this VM blocks, and when it asked others whether they object.
 	objections map[crash.Fingerprint]time.Time
 	warmAt     time.Time // when another VM last said that it has seen whole answers
-	reviewAt   time.Time // time of the next check of what is to be saved
+	// provedSends is the number of probes that told others what requests ran to their end, and
+	// provedAt the time of the last one.
+	provedSends int
+	provedAt    time.Time
+	reviewAt    time.Time // time of the next check of what is to be saved
 	// watched has the causes under which upstreams have crashed or may have, and the
 	// ends of the times for which they are blocked. The request path reads it.
 	watched     atomic.Pointer[map[crash.Fingerprint]time.Time]
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -280,7 +280,7 @@
 func TestCompletionsExpire(t *testing.T) {
 	is := is.New(t)
 	var c completions
-	c.add(start, causes(7))
+	c.add(start, []crash.Fingerprint{7})
 	is.True(c.has(start, 7))
 	is.True(!c.has(start, 8))
 	is.True(c.has(start.Add(completionTime), 7))
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -149,7 +149,7 @@
 			if c.poison.isProved(now, cause.Kind, cause.Print) {
 				continue
 			}
-			s.causes = append(s.causes, suspectCause{Print: cause.Print, Kind: cause.Kind, Harmless: c.poison.complete.has(now, cause.Print)})
+			s.causes = append(s.causes, suspectCause{Print: cause.Print, Kind: cause.Kind, Harmless: c.poison.isHarmless(now, cause.Print)})
 		}
 		list = append(list, s)
 	}
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -65,6 +65,15 @@
 	return Fingerprint(f), nil
 }
 
+// Prints returns the fingerprints of causes.
+func Prints(causes []Cause) []Fingerprint {
+	prints := make([]Fingerprint, len(causes))
+	for i, c := range causes {
+		prints[i] = c.Print
+	}
+	return prints
+}
+
 // Texts returns the fingerprints as they stand in logs.
 func Texts(list []Fingerprint) []string {
 	texts := make([]string, len(list))
