fix(relay,edge): a request whose caller gives up early may have crashed its upstream

Cause: at an upstream that crashes without closing its connections, a run that its caller or its deadline ends is held to be a cause only if the upstream had 500 ms to answer. Ruled out: the harmless flag (false in all records), lost reports of crashes, and the VMs' kills.

Change: such a run is reported when its upstream has had the 500 ms, unless something has arrived from it. It is forgotten if the check of the upstream that follows shows that it runs.

Without the change TestSilentRunIsReported fails; without the check's part TestRequestThatEndsEarlyMayCrashUpstreams and TestRequestThatEndsEarlyIsNoOutage.

--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"testing"
@@ -116,6 +117,56 @@
 	}
 }
 
+// Guards against a request that crashes one upstream after the other and is never blocked, as its
+// caller gives up before the upstream can count as silent (soak seed 47148).
+func TestRequestThatEndsEarlyMayCrashUpstreams(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		check   error // result of the check of the upstream
+		blocked bool
+	}{
+		{"the upstream is silent", errNoAnswer, true},
+		{"the upstream runs", nil, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			vm := loneVM()
+			vm.check = func(context.Context, roster.Upstream, string) error { return c.check }
+			at := start
+			for i := range 3 {
+				at = at.Add(2 * time.Second)
+				id := fmt.Sprint("e", i)
+				run := brokenRun(7, id, at.Add(-500*time.Millisecond))
+				run.Silent, run.Early = true, true
+				vm.noteBroken(t.Context(), at, run)
+				for len(vm.poison.probing) > 0 {
+					vm.handlePoison(t.Context(), at, <-vm.events)
+				}
+				is.Equal(len(vm.poison.pending[id]), map[bool]int{true: 1}[c.blocked])
+				vm.noteCrash(at.Add(time.Second), id, at.Add(time.Second), learnedFromMissingEntry)
+			}
+			is.Equal(vm.remaining(at.Add(time.Second), 7) > 0, c.blocked)
+		})
+	}
+}
+
+// Guards against an upstream that still runs and whose next crash is not held against the request
+// that runs there, since another one had ended early shortly before.
+func TestRequestThatEndsEarlyIsNoOutage(t *testing.T) {
+	is := is.New(t)
+	vm := loneVM()
+	vm.check = func(context.Context, roster.Upstream, string) error { return nil }
+	early := brokenRun(7, "e", start.Add(-500*time.Millisecond))
+	early.Early = true
+	vm.noteBroken(t.Context(), start, early)
+	for len(vm.poison.probing) > 0 {
+		vm.handlePoison(t.Context(), start, <-vm.events)
+	}
+	at := start.Add(200 * time.Millisecond)
+	vm.noteBroken(t.Context(), at, brokenRun(8, "e", start.Add(100*time.Millisecond)))
+	is.Equal(len(vm.poison.pending["e"]), 1)
+}
+
 func TestCrashLongAfterBrokenRequestIsIgnored(t *testing.T) {
 	is := is.New(t)
 	c := loneVM()
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -38,6 +38,7 @@
 type suspect struct {
 	run    crash.Run
 	causes []suspectCause
+	early  bool // see relay.BrokenRun.Early; it is none if a check shows that the upstream still runs
 }
 
 // handlePoison handles the events about poison requests. It returns false for any other
@@ -50,6 +51,9 @@
 		c.checkEnded(ctx, e)
 	case upstreamChecked:
 		delete(c.poison.probing, e.upstream)
+		if e.runs {
+			c.poison.dropEarly(e.upstream, e.began)
+		}
 	case unreachable:
 		c.noteCrash(now, e.upstream, now, e.learned)
 	case crashesSaved:
@@ -69,6 +73,7 @@
 	post     func(event)
 	upstream roster.Upstream
 	path     string // of its health check
+	began    time.Time
 }
 
 func (p *crashProbe) run(ctx context.Context) {
@@ -81,7 +86,7 @@
 	if err != nil && !errors.Is(err, errNoAnswer) && ctx.Err() == nil {
 		p.post(newUnreachable(p.upstream.ID, err))
 	}
-	p.post(upstreamChecked{upstream: p.upstream.ID})
+	p.post(upstreamChecked{upstream: p.upstream.ID, began: p.began, runs: err == nil})
 }
 
 // endProbe checks whether the process of the upstream of an answer that ended with its
@@ -134,7 +139,7 @@
 	id := e.Upstream.ID
 	if !c.poison.probing[id] {
 		c.poison.probing[id] = true
-		go (&crashProbe{check: c.check, post: c.post, upstream: e.Upstream, path: c.healthPath(e.Upstream.Service)}).run(ctx)
+		go (&crashProbe{check: c.check, post: c.post, upstream: e.Upstream, path: c.healthPath(e.Upstream.Service), began: now}).run(ctx)
 	}
 	if !c.poison.isCause(now, e) {
 		return
@@ -144,7 +149,7 @@
 		c.poison.runs++
 		s := suspect{run: crash.Run{
 			ID: crash.RunID(c.self.Name, strconv.FormatInt(c.self.Boot, 10), c.poison.runs), Upstream: id, Sent: e.Sent, Ended: now,
-		}}
+		}, early: e.Early}
 		for _, cause := range e.Causes {
 			if c.poison.isProved(now, cause.Kind, cause.Print) {
 				continue
@@ -156,12 +161,28 @@
 	c.poison.pending[id], c.poison.stale = list, true
 	c.metrics.Suspected("broke off")
 	c.logger.Info("crash: request broke off", zap.String("request", e.Request), zap.String("upstream", id),
-		zap.Stringer("print", e.Causes[0].Print), zap.Stringer("caller", e.Caller), zap.Bool("silent", e.Silent), zap.Stringers("parts", e.Parts))
+		zap.Stringer("print", e.Causes[0].Print), zap.Stringer("caller", e.Caller), zap.Bool("silent", e.Silent), zap.Bool("early", e.Early), zap.Stringers("parts", e.Parts))
 	if e.Sent.Before(c.poison.crashed[id]) {
 		c.reportSuspects(now, id, learnedBefore)
 	}
 }
 
+// dropEarly forgets the suspects of an upstream that ended early, up to the time at which a check
+// of the upstream began that shows that it still runs.
+func (p *poison) dropEarly(upstream string, began time.Time) {
+	list := p.pending[upstream]
+	kept := slices.DeleteFunc(slices.Clone(list), func(s suspect) bool { return s.early && !s.run.Ended.After(began) })
+	if len(kept) == len(list) {
+		return
+	}
+	p.stale = true
+	p.pending[upstream] = kept
+	if len(kept) == 0 {
+		delete(p.pending, upstream)
+		delete(p.outages, upstream)
+	}
+}
+
 // noteCrash handles the crash of an upstream, which was before the given time. learned
 // tells how this VM learned of it. Each request that broke off there shortly before may
 // be the cause, and so may those that are still to break off: a connection may stay
--- a/internal/relay/crash_tracker.go
+++ b/internal/relay/crash_tracker.go
@@ -66,6 +66,7 @@
 	Sent     time.Time // when the request was sent to the upstream
 	Heard    time.Time // when something last arrived from the upstream, for any request
 	Silent   bool      // the upstream left the connection open and sent nothing
+	Early    bool      // the request ended before the upstream had quietTime to answer
 }
 
 // quietTime is how long an upstream has to be silent before a request ends by its
@@ -181,16 +182,39 @@
 func (x *exchange) reportBroken(r *sentRun, err error) {
 	ended := x.ctxDone() || x.callerGone()
 	silent := ended || errors.Is(err, context.DeadlineExceeded)
-	if (silent && !r.silent()) || (ended && time.Since(r.heard) < quietTime) {
+	if silent && !r.silent() {
 		return
 	}
 	causes := x.causes()
 	if r.events >= provedEvents {
 		causes = causes[:partsFrom]
 	}
-	x.config.CrashTracker.ReportBroken(BrokenRun{
+	broken := BrokenRun{
 		Request: x.call.ID, Causes: causes, Parts: x.call.SharedParts(), Caller: x.caller(), Upstream: r.upstream, Sent: r.sent, Heard: r.sign.time(), Silent: silent,
-	})
+	}
+	quiet := time.Since(r.heard)
+	switch {
+	case !ended || quiet >= quietTime:
+		x.config.CrashTracker.ReportBroken(broken)
+	case r.heard.Equal(r.sent): // otherwise the upstream has run it without a crash
+		broken.Early = true
+		time.AfterFunc(quietTime-quiet, (&earlyReport{tracker: x.config.CrashTracker, run: r, broken: broken}).send)
+	}
+}
+
+// earlyReport reports a run that ended early, once the upstream has had quietTime to answer.
+type earlyReport struct {
+	tracker CrashTracker
+	run     *sentRun
+	broken  BrokenRun
+}
+
+func (e *earlyReport) send() {
+	if !e.run.silent() {
+		return
+	}
+	e.broken.Heard = e.run.sign.time()
+	e.tracker.ReportBroken(e.broken)
 }
 
 // reportUnanswered tells the CrashTracker of a send that failed before the headers
