fix(edge): the state of a peer counts as a listing, in its era

Cause: it had started from a peer's state while the store was away. The store came back from a copy, which gives out offsets again. The VM skips entries below the highest offset that it has applied, and resets that in the first listing of a new era; the state had raised it (272) without counting as a listing, so that the VM's listing was taken for its first one. The entries at offsets 215 to 271 were skipped, and heartbeats after them are not forwarded, as they say nothing new.

Change: the topics of a state count as listed in the era of the state.

TestEntriesAfterTheStateOfAPeerAndARestore failed before.

--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -65,17 +65,20 @@
 	reply <- s
 }
 
-// applyState applies those topics of a peer's state that this VM does not know yet.
+// applyState applies those topics of a peer's state that this VM does not know yet. They count as
+// listed in the era of the state, whose offsets may be given out again in the next one.
 func (c *control) applyState(now time.Time, s state) {
-	if s.Era < c.storeEra.newest {
-		return
-	}
-	c.fence.BeginEra(s.Era, now.Add(c.lease()))
 	var applied []platform.Topic
 	for topic, records := range s.Topics {
-		if f, ok := c.feeds[topic]; ok && f.known.Swap(true) {
+		if f, ok := c.feeds[topic]; ok && f.known.Load() {
 			continue
 		}
+		if accepted, _ := c.beginListing(now, topic, s.Era); !accepted {
+			return
+		}
+		if f, ok := c.feeds[topic]; ok {
+			f.known.Store(true)
+		}
 		c.applyRecords(now, topic, records, readOrigin{recovered: true, listing: true, grace: reregisterGrace})
 		applied = append(applied, topic)
 	}
