fix(relay): a restarted upstream's wait does not end early because clocks differ

What callers see: nothing by itself; a replica that had restarted and rejected a request with Retry-After got requests of that VM within the time (BUDGET), if its clock was ahead of the VM's by more than the time from its start to the rejection, or if the VM's clock had jumped back.

Change: a pause of an upstream that, by the clocks, has started after it goes on for 10 s at most.

TestPauseEndsWithAnotherStart failed before (0 s left instead of 10 s).

--- a/internal/relay/pauses.go
+++ b/internal/relay/pauses.go
@@ -19,14 +19,18 @@
 	startTime    int64 // of the upstream, as this VM knew it
 }
 
+// maxClockSkew is how far the clocks of an upstream and this VM may be apart.
+const maxClockSkew = 10 * time.Second
+
 // remaining returns how long an upstream still wants no requests, or 0. If it has started
 // anew since, it has not asked for that; but the VM may have learned of the start later than
-// of the pause.
+// of the pause, and the clocks may differ. So the pause goes on, for maxClockSkew at most.
 func (p pause) remaining(now time.Time, u roster.Upstream) time.Duration {
+	until := p.until
 	if u.StartTime != p.startTime && time.UnixMilli(u.StartTime).After(p.noted) {
-		return 0
+		until = earlier(until, p.noted.Add(maxClockSkew))
 	}
-	return max(p.until.Sub(now), 0)
+	return max(until.Sub(now), 0)
 }
 
 // note records that an upstream wants no requests for a time.
