fix(relay): an upstream that surely started after its wait gets requests at once

What callers saw: refusals with Retry-After for up to 10 s although the only upstream had started anew, a minute later by its clock.

Cause: let the wait of a restarted upstream go on for 10 s whatever its start time, because clocks differ. Ruled out: a wrong test; its upstream starts a minute after the rejection, more than clocks differ by.

Change: a start more than 10 s after the rejection ends the wait at once; one that may have been before it lets the wait go on for 10 s at most, as wanted. TestPauseEndsWithAnotherStart has both sides of the bound.

--- a/internal/relay/pauses.go
+++ b/internal/relay/pauses.go
@@ -24,10 +24,14 @@
 
 // remaining returns how long an upstream still wants no requests, or 0. If it has started
 // anew since, it has not asked for that; but the VM may have learned of the start later than
-// of the pause, and the clocks may differ. So the pause goes on, for maxClockSkew at most.
+// of the pause, and the clocks may differ. So after a start that may have been before the
+// pause, the pause goes on for maxClockSkew at most.
 func (p pause) remaining(now time.Time, u roster.Upstream) time.Duration {
 	until := p.until
-	if u.StartTime != p.startTime && time.UnixMilli(u.StartTime).After(p.noted) {
+	if started := time.UnixMilli(u.StartTime); u.StartTime != p.startTime && started.After(p.noted) {
+		if started.Sub(p.noted) > maxClockSkew {
+			return 0
+		}
 		until = earlier(until, p.noted.Add(maxClockSkew))
 	}
 	return max(until.Sub(now), 0)
--- a/internal/relay/pauses_test.go
+++ b/internal/relay/pauses_test.go
@@ -19,10 +19,11 @@
 	p.note(now, u, time.Minute)
 	p.note(now, u, time.Second)
 	is.Equal(p.remaining(now, u), time.Minute)
-	for startTime, want := range map[int64]time.Duration{1000: time.Minute, 9000: time.Minute, 10_500: maxClockSkew, 15_000: maxClockSkew} {
+	for startTime, want := range map[int64]time.Duration{1000: time.Minute, 9000: time.Minute, 10_500: maxClockSkew, 20_000: maxClockSkew, 20_001: 0} {
 		u.StartTime = startTime
 		is.Equal(p.remaining(now, u), want)
 	}
+	u.StartTime = 15_000
 	is.Equal(p.remaining(now.Add(maxClockSkew), u), time.Duration(0))
 	now = now.Add(2 * maxClockSkew)
 	p.note(now, u, 1500*time.Millisecond)
