--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -18,6 +18,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -121,6 +122,7 @@
 	stop     context.CancelFunc
 	loops    sync.WaitGroup
 	began    time.Time
+	down     atomic.Bool // the store answers no call
 	mu       sync.Mutex
 	log      *os.File
 }
@@ -233,9 +235,10 @@
 	time.Sleep(learnTime)
 }
 
-// setStoreDown makes the store answer all calls with 503, or answer them again. Without an entry for three
-// heartbeats, replicas would lapse: they write theirs as before, as in an outage that is shorter.
+// setStoreDown makes the store answer all calls with 503, or answer them again. Replicas cannot write their
+// entries meanwhile; none lapses.
 func (f *fleet) setStoreDown(down bool) {
+	f.down.Store(down)
 	f.store.SetFaults(emul.StoreFaults{Down: down})
 }
 
@@ -247,6 +250,9 @@
 		replicas := slices.Clone(f.replicas)
 		f.mu.Unlock()
 		for _, r := range replicas {
+			if f.down.Load() {
+				continue
+			}
 			f.store.Put("keyed.servers", r.ID(), r.Entry(r.address))
 		}
 		select {
