refactor(answer): one reader of answers for all clients

Answers were read in two ways: by internal/link for upstreams, and by the transport of net/http for engines' orders and reports, the store, peers, and all clients of tanagerlb serve. A check in one of them left out the other.

Package answer has the reader of internal/link now, and link.NewClient is an HTTP client on a link.Pool, which all clients use. A client sends each request once: net/http sent a GET again when a kept connection broke before its answer, which the users of these clients do by themselves.

--- a/cmd/tanagerlb/operate.go
+++ b/cmd/tanagerlb/operate.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"net/netip"
 	"os"
 	"time"
@@ -13,6 +12,7 @@
 
 	"github.com/tanagerlb/tanagerlb/gen/http/operator/client"
 	"github.com/tanagerlb/tanagerlb/gen/operator"
+	"github.com/tanagerlb/tanagerlb/internal/link"
 )
 
 // errRejected is returned if a document was rejected because another version has
@@ -32,7 +32,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("parse operator address: %w", err)
 	}
-	doer := &http.Client{Timeout: operatorTimeout}
+	doer := link.NewClient(link.Config{})
+	doer.Timeout = operatorTimeout
 	c := client.NewClient("http", address.String(), doer, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
 	return operator.NewClient(c.Publish(), c.Show(), c.Status()), nil
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/tanagerlb/tanagerlb/internal/fetch"
+	"github.com/tanagerlb/tanagerlb/internal/link"
 )
 
 // peerStall is the longest time without bytes of a peer's response.
@@ -17,10 +17,7 @@
 
 // newPeerClient returns a client for calls to peers.
 func newPeerClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		DisableKeepAlives: true, // two VMs rarely talk to each other twice in a row
-	}}
+	return link.NewClient(link.Config{DialTimeout: dialTimeout}) // two VMs rarely talk to each other twice in a row
 }
 
 // getFromPeer returns a peer's response to a GET request.
--- a/internal/infer/infer.go
+++ b/internal/infer/infer.go
@@ -104,8 +104,8 @@
 func NewClient(c Config) *Client {
 	return &Client{
 		config:  c,
-		calls:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&link.Dialer{}).DialContext}},
-		reports: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}},
+		calls:   link.NewClient(link.Config{}),
+		reports: link.NewClient(link.Config{IdleTimeout: 30 * time.Second, MaxIdle: 64}),
 	}
 }
 
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -5,7 +5,6 @@
 package link
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -14,9 +13,7 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"net/url"
 	"os"
-	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -25,6 +22,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/tanagerlb/tanagerlb/internal/answer"
 )
 
 // Errors of Pool.Do. They tell whether the upstream may have run the request.
@@ -36,11 +35,14 @@
 	ErrBroken = errors.New("connection broke")
 )
 
-// Config holds the timeouts of a Pool and its limit of idle connections.
+// Config holds the settings of a Pool or a client.
 type Config struct {
-	DialTimeout time.Duration // timeout for opening a connection
+	DialTimeout time.Duration // timeout for opening a connection; 0 for no limit
 	IdleTimeout time.Duration // time for which an idle connection is kept, unless the upstream's Keep-Alive header sets one
 	MaxIdle     int           // maximum number of idle connections per upstream
+	// KeepAlive sets the probes of connections. The zero value is for none: an upstream that is silent
+	// for a time goes on, and each exchange ends by its deadline.
+	KeepAlive net.KeepAliveConfig
 }
 
 // Pool opens connections to upstreams and keeps idle ones for reuse. It is safe
@@ -56,39 +58,16 @@
 // conn is a connection that may be reused for further requests.
 type conn struct {
 	net.Conn
-	reader   *bufio.Reader
-	headLeft int       // number of bytes that may still be read before the head of the answer ends; negative after that
+	answers  *answer.Reader
 	used     bool      // a request was sent on this connection
 	lastUsed time.Time // end of the last answer on this connection
 	expires  time.Time // time after which this connection must not be reused
 }
 
-// errHeadTooLong means that the head of an answer does not end.
-var errHeadTooLong = errors.New("head of the answer is too long")
-
-// Read implements io.Reader.
-func (c *conn) Read(p []byte) (int, error) {
-	if c.headLeft == 0 {
-		return 0, errHeadTooLong
-	}
-	if c.headLeft > 0 {
-		p = p[:min(len(p), c.headLeft)]
-	}
-	n, err := c.Conn.Read(p)
-	if c.headLeft > 0 {
-		c.headLeft -= n
-	}
-	return n, err //nolint:wrapcheck // an io.Reader
-}
-
 const (
-	// maxHeadBytes limits the head of an answer, with the informational answers (1xx)
-	// before it.
-	maxHeadBytes = 64 << 10
-	// bufferSize is the size of a read buffer in bytes: enough for the headers of
-	// an answer or a few events. A request body that is longer than this is sent
-	// while the answer is read (see Do).
-	bufferSize = 4 << 10
+	// maxInlineBytes is the size of the longest request body that is sent before the
+	// answer is read.
+	maxInlineBytes = 4 << 10
 	// idleMargin is subtracted from the idle timeout in an upstream's Keep-Alive
 	// header, because a request is lost if it is sent while the upstream closes the
 	// connection.
@@ -99,9 +78,8 @@
 func NewPool(c Config, opened func()) *Pool {
 	return &Pool{
 		config: c, idle: map[netip.AddrPort][]*conn{}, opened: opened,
-		// Neither TCP_USER_TIMEOUT nor keep-alive: an upstream that is silent for a time goes on, and
-		// each exchange ends by its deadline. See also conn.abort.
-		dialer: net.Dialer{Timeout: c.DialTimeout, KeepAlive: -1},
+		// No TCP_USER_TIMEOUT, for the same reason as in Config.KeepAlive. See also conn.abort.
+		dialer: net.Dialer{Timeout: c.DialTimeout, KeepAlive: -1, KeepAliveConfig: c.KeepAlive},
 	}
 }
 
@@ -109,40 +87,17 @@
 // unacknowledged.
 const abortTimeout = 500 * time.Millisecond
 
-// abort closes a connection. A server that is silent does not get what it has not acknowledged when
+// abort closes a connection. An upstream that is silent does not get what it has not acknowledged when
 // it goes on: the kernel would send that again after the connection was closed.
-func abort(c net.Conn) error {
-	if raw, ok := rawConn(c); ok {
+func (c *conn) abort() {
+	if raw, ok := rawConn(c.Conn); ok {
 		_ = raw.Control(func(fd uintptr) { // fails only if the connection is closed
 			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(abortTimeout.Milliseconds())) // as above
 		})
 	}
-	return c.Close() //nolint:wrapcheck // by the caller
-}
-
-func (c *conn) abort() {
-	_ = abort(c.Conn) // nothing more is read from it
-}
-
-// Dialer opens connections for clients of net/http, which close them when a call is given up. What
-// a server that is silent has not acknowledged by then does not reach it later.
-type Dialer struct{ net.Dialer }
-
-// DialContext opens a connection.
-func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	c, err := d.Dialer.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err //nolint:wrapcheck // stands in for a net.Dialer
-	}
-	return abortedConn{c}, nil
+	_ = c.Close() // nothing more is read from it
 }
 
-// abortedConn is a connection that Close aborts.
-type abortedConn struct{ net.Conn }
-
-// Close implements net.Conn.
-func (c abortedConn) Close() error { return abort(c.Conn) }
-
 // silenceTime is the time after which an upstream counts as silent that has acknowledged nothing.
 const silenceTime = time.Second
 
@@ -211,7 +166,7 @@
 	r.Sends.add(c)
 	x.stop = context.AfterFunc(ctx, c.abort)
 	w := &sender{conn: c, data: r.encode(), sent: x.sent}
-	if len(r.Body) <= bufferSize {
+	if len(r.Body) <= maxInlineBytes {
 		w.run()
 	} else {
 		// An upstream may answer before it has read a long body, so the answer is
@@ -219,12 +174,12 @@
 		go w.run()
 	}
 	if err = p.awaitAnswer(time.Now(), address, c, r); err == nil {
-		x.Response, err = c.readResponse(r.Method) //nolint:bodyclose // by Close
+		x.Response, err = c.answers.Read(r.Method) //nolint:bodyclose // by Close
 	}
 	for err == nil && x.Reused && x.Skipped < maxSkipped && r.skips(x.Response) {
 		x.Skipped++
 		if err = skip(x.Response); err == nil {
-			x.Response, err = c.readResponse(r.Method) //nolint:bodyclose // by Close
+			x.Response, err = c.answers.Read(r.Method) //nolint:bodyclose // by Close
 		}
 	}
 	if err != nil {
@@ -242,12 +197,11 @@
 // is silent. The idle connections to such an upstream are closed, since they may be silent for good
 // while new ones work.
 func (p *Pool) awaitAnswer(now time.Time, address netip.AddrPort, c *conn, r Request) error {
-	if r.Silent == nil || len(r.Body) > bufferSize {
+	if r.Silent == nil || len(r.Body) > maxInlineBytes {
 		return nil
 	}
-	c.headLeft = maxHeadBytes
 	_ = c.SetReadDeadline(now.Add(silenceTime)) // fails only if the connection is closed, which the read tells
-	_, err := c.reader.Peek(1)
+	err := c.answers.Await()
 	_ = c.SetReadDeadline(time.Time{})
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		return err //nolint:wrapcheck // by Do
@@ -275,44 +229,8 @@
 }
 
 // skips reports whether an answer belongs to an earlier request and another one may follow.
-func (r *Request) skips(answer *http.Response) bool {
-	return r.IsAnswer != nil && !r.IsAnswer(answer.Header) && !answer.Close && IsFramed(answer)
-}
-
-// readResponse reads the head of the next answer that is not informational.
-func (c *conn) readResponse(method string) (*http.Response, error) {
-	request := &http.Request{Method: method, URL: &url.URL{Path: "/"}}
-	c.headLeft = maxHeadBytes
-	defer func() { c.headLeft = -1 }()
-	for {
-		response, err := http.ReadResponse(c.reader, request)
-		if err == nil && isJoined(response) {
-			err = errJoined
-		}
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err //nolint:wrapcheck // by Do
-		}
-	}
-}
-
-// errJoined means that the head of an answer was cut off, and that of the next one goes on in it.
-var errJoined = errors.New("head of an answer goes on with that of another one")
-
-// statusLine matches the beginning of an answer.
-var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
-
-// isJoined reports whether the head of an answer holds the beginning of another one. Such an answer
-// may have the status of the one and the id of the other.
-func isJoined(r *http.Response) bool {
-	if statusLine.MatchString(r.Status) {
-		return true
-	}
-	for name, values := range r.Header {
-		if statusLine.MatchString(name) || slices.ContainsFunc(values, statusLine.MatchString) {
-			return true
-		}
-	}
-	return false
+func (r *Request) skips(response *http.Response) bool {
+	return r.IsAnswer != nil && !r.IsAnswer(response.Header) && !response.Close && answer.IsFramed(response)
 }
 
 const (
@@ -324,9 +242,6 @@
 
 var errSkippedTooLong = errors.New("answer to an earlier request is too long")
 
-// IsFramed reports whether the end of an answer's body is marked, by its length or its chunks.
-func IsFramed(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
-
 // skip reads the body of an answer that is not needed.
 func skip(r *http.Response) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxSkippedBytes+1))
@@ -351,7 +266,7 @@
 // encode returns the request in HTTP/1.1 format.
 func (r *Request) encode() []byte {
 	var b bytes.Buffer
-	b.Grow(bufferSize + len(r.Body))
+	b.Grow(maxInlineBytes + len(r.Body))
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
 	h := r.Header.Clone()
 	h.Del("Content-Length")
@@ -376,7 +291,7 @@
 		complete = false
 	}
 	idle := x.idleTime()
-	if !intact || !complete || x.Response.Close || idle <= 0 || x.conn.reader.Buffered() > 0 {
+	if !intact || !complete || x.Response.Close || idle <= 0 || x.conn.answers.Buffered() > 0 {
 		x.conn.abort() // must come first: closing the body reads the rest of it from an open connection
 		_ = x.Response.Body.Close()
 		return
@@ -438,9 +353,7 @@
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
 	p.opened()
-	c := &conn{Conn: opened}
-	c.reader = bufio.NewReaderSize(c, bufferSize)
-	return c, nil
+	return &conn{Conn: opened, answers: answer.NewReader(opened)}, nil
 }
 
 // Check opens a connection to the upstream at an address, and keeps it for later
@@ -505,6 +418,18 @@
 	delete(p.idle, address)
 }
 
+// closeAllIdle closes all idle connections.
+func (p *Pool) closeAllIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conns := range p.idle {
+		for _, c := range conns {
+			_ = c.Close()
+		}
+	}
+	clear(p.idle)
+}
+
 // CloseExpired closes the idle connections that expired at now.
 func (p *Pool) CloseExpired(now time.Time) {
 	p.mu.Lock()
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/tanagerlb/tanagerlb/internal/fetch"
+	"github.com/tanagerlb/tanagerlb/internal/link"
 	"github.com/tanagerlb/tanagerlb/pkg/record"
 )
 
@@ -40,10 +41,7 @@
 
 // NewClient returns a Client without open connections.
 func NewClient(c Config) *Client {
-	return &Client{config: c, http: &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 16,
-		IdleConnTimeout:     30 * time.Second,
-	}}}
+	return &Client{config: c, http: link.NewClient(link.Config{IdleTimeout: 30 * time.Second, MaxIdle: 16})}
 }
 
 type wireRecord struct {
--- a/internal/plain/plain.go
+++ b/internal/plain/plain.go
@@ -57,18 +57,16 @@
 // Client sends calls to the upstreams of plain services over HTTP.
 type Client struct {
 	http   *http.Client
-	dialer *link.Dialer
+	dialer net.Dialer
 }
 
 // NewClient returns a Client that opens a new connection for each call. A call thus
 // never fails on a stale connection. If its connection could not be opened, the call
 // certainly did not run.
 func NewClient(c Config) *Client {
-	dialer := &link.Dialer{Dialer: net.Dialer{Timeout: c.DialTimeout}}
-	return &Client{dialer: dialer, http: &http.Client{
-		Transport:     &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	client := link.NewClient(link.Config{DialTimeout: c.DialTimeout})
+	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{dialer: net.Dialer{Timeout: c.DialTimeout}, http: client}
 }
 
 // Call sends a call to an upstream and returns the reply. It never sends a call
@@ -82,7 +80,6 @@
 	if call.Key != "" {
 		request.Header.Set("Idempotency-Key", call.Key)
 	}
-	request.GetBody = nil // prevents the transport from sending the request again
 	response, err := c.http.Do(request)
 	if err != nil {
 		return Reply{}, classify(err)
@@ -109,8 +106,7 @@
 // classify wraps an error with ErrNotSent if the connection could not be opened,
 // and with ErrIncomplete otherwise.
 func classify(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if errors.Is(err, link.ErrNotSent) {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	return fmt.Errorf("%w: %w", ErrIncomplete, err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/semaphore"
 
+	"github.com/tanagerlb/tanagerlb/internal/answer"
 	"github.com/tanagerlb/tanagerlb/internal/link"
 	"github.com/tanagerlb/tanagerlb/internal/metric"
 	"github.com/tanagerlb/tanagerlb/pkg/call"
@@ -571,7 +572,7 @@
 	if response.StatusCode < http.StatusInternalServerError { // otherwise it may have failed before it ran
 		x.config.CrashTracker.ReportCompleted(time.Now(), CompletedRun{
 			Request: x.call.ID, Causes: x.cleared(response.StatusCode), Caller: x.caller(), Upstream: x.run.upstream, Sent: x.run.sent,
-			Status: response.StatusCode, Framed: link.IsFramed(response),
+			Status: response.StatusCode, Framed: answer.IsFramed(response),
 		})
 	}
 	x.logAnswered(upstream, response)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/tanagerlb/tanagerlb/internal/answer"
 	"github.com/tanagerlb/tanagerlb/internal/link"
 	"github.com/tanagerlb/tanagerlb/pkg/engine"
 	"github.com/tanagerlb/tanagerlb/pkg/roster"
@@ -423,7 +424,7 @@
 // its end is marked.
 func (x *exchange) resumedAtEnd(response *http.Response) bool {
 	resumed := x.lastID != "" || x.call.LastEventID != ""
-	return resumed && x.route.Resumable && link.IsFramed(response)
+	return resumed && x.route.Resumable && answer.IsFramed(response)
 }
 
 // sendComplete reads an answer that is not a stream of events and writes it to the
--- a/internal/vms/vms.go
+++ b/internal/vms/vms.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/tanagerlb/tanagerlb/internal/link"
 	"github.com/tanagerlb/tanagerlb/pkg/member"
 )
 
@@ -41,7 +42,9 @@
 
 // Watch starts reading the VM list in the background, until ctx is done.
 func Watch(ctx context.Context, c Config) {
-	w := &Watcher{config: c, http: &http.Client{Timeout: c.Interval * 2}}
+	const idleTimeout = 30 * time.Second
+	w := &Watcher{config: c, http: link.NewClient(link.Config{IdleTimeout: idleTimeout, MaxIdle: 1})}
+	w.http.Timeout = c.Interval * 2
 	go w.run(ctx)
 }
 
