fix(link): clients follow no redirects

What callers saw: an order to load an adapter, or a completion of tanagerlb serve, could run at a server that no configuration names, or several times: an engine's 307 or 308 made net/http send the request again, with its body, to the address in the answer. The order then counted as carried out.

Cause: http.Client follows redirects unless CheckRedirect stops it; only the client of plain services did. A redirect is an answer like others, and what may be sent again, and where, is the caller's decision.

Before: TestClientFollowsNoRedirects failed ('stopped after 10 redirects'); on infer.Client.Load returned no error, and the server that the 307 named got the request. Now the answer is passed on, once.

--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -11,11 +11,14 @@
 	"time"
 )
 
-// NewClient returns an HTTP client that reads answers as a Pool does. It sends each request once. The
-// hosts of its requests are IP addresses with ports. Its errors wrap ErrNotSent or ErrBroken. If
-// MaxIdle is 0, it opens a new connection for each request.
+// NewClient returns an HTTP client that reads answers as a Pool does. It sends each request once and
+// follows no redirects. The hosts of its requests are IP addresses with ports. Its errors wrap
+// ErrNotSent or ErrBroken. If MaxIdle is 0, it opens a new connection for each request.
 func NewClient(c Config) *http.Client {
-	return &http.Client{Transport: &transport{pool: NewPool(c, func() {}), config: c}}
+	return &http.Client{
+		Transport:     &transport{pool: NewPool(c, func() {}), config: c},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
 
 // transport is an http.RoundTripper that sends requests on the connections of a pool.
--- a/internal/link/client_test.go
+++ b/internal/link/client_test.go
@@ -58,3 +58,19 @@
 		})
 	}
 }
+
+// Guards against a request that a redirect sends to a second server, or twice to the same one.
+func TestClientFollowsNoRedirects(t *testing.T) {
+	is := is.New(t)
+	var requests atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		requests.Add(1)
+		http.Redirect(w, r, "/other", http.StatusTemporaryRedirect)
+	}))
+	t.Cleanup(server.Close)
+	response, err := link.NewClient(link.Config{}).Post(server.URL, "text/plain", strings.NewReader("body"))
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(response.StatusCode, http.StatusTemporaryRedirect)
+	is.Equal(requests.Load(), int64(1))
+}
--- a/internal/plain/plain.go
+++ b/internal/plain/plain.go
@@ -64,9 +64,7 @@
 // never fails on a stale connection. If its connection could not be opened, the call
 // certainly did not run.
 func NewClient(c Config) *Client {
-	client := link.NewClient(link.Config{DialTimeout: c.DialTimeout})
-	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Client{dialer: net.Dialer{Timeout: c.DialTimeout}, http: client}
+	return &Client{dialer: net.Dialer{Timeout: c.DialTimeout}, http: link.NewClient(link.Config{DialTimeout: c.DialTimeout})}
 }
 
 // Call sends a call to an upstream and returns the reply. It never sends a call
