fix(answer): an answer has a status of HTTP

What callers saw: an upstream's answer with status 000 (or any below 100) held its caller until the deadline, or was followed by whatever came next on the connection; 600 and above were passed on; status 101, HTTP/0.9 and HTTP/2.0 counted as answers. In tanagerlb serve, status 000 was the reply of a plain service, a load that was answered so counted as refused, and an order of tanagerlb edge as rejected, though each may have run.

Cause: net/http accepts any three characters that strconv.Atoi does, and the reader took each status below 200 for an informational answer.

answer.Reader reads a head itself before net/http parses it, and fails at the first byte or line that RFC 9112, section 4, does not allow. A broken answer may have run: it counts as a connection that broke.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -4,28 +4,14 @@
 
 import (
 	"bufio"
-	"errors"
 	"io"
 	"net/http"
 	"net/url"
-	"regexp"
-	"slices"
 )
 
-const (
-	// maxHeadBytes limits the head of an answer, with the informational answers (1xx)
-	// before it.
-	maxHeadBytes = 64 << 10
-	// bufferSize is the size of a read buffer in bytes: enough for the headers of
-	// an answer or a few events.
-	bufferSize = 4 << 10
-)
-
-var (
-	errHeadTooLong = errors.New("head of the answer is too long")
-	// errJoined means that the head of an answer was cut off, and that of the next one goes on in it.
-	errJoined = errors.New("head of an answer goes on with that of another one")
-)
+// bufferSize is the size of a read buffer in bytes: enough for the headers of
+// an answer or a few events.
+const bufferSize = 4 << 10
 
 // Reader reads the answers that arrive on a connection, one after the other. It is not
 // safe for concurrent use.
@@ -34,30 +20,27 @@
 	buffer *bufio.Reader
 }
 
-// source is a connection whose bytes are limited while a head is read.
+// source is a connection whose bytes come after those that were read before and are to be read again.
 type source struct {
-	conn     io.Reader
-	headLeft int // number of bytes that may still be read before the head of the answer ends; negative after that
+	again []byte
+	conn  io.Reader
 }
 
 // Read implements io.Reader.
 func (s *source) Read(p []byte) (int, error) {
-	if s.headLeft == 0 {
-		return 0, errHeadTooLong
-	}
-	if s.headLeft > 0 {
-		p = p[:min(len(p), s.headLeft)]
-	}
-	n, err := s.conn.Read(p)
-	if s.headLeft > 0 {
-		s.headLeft -= n
+	if len(s.again) > 0 {
+		n := copy(p, s.again)
+		if s.again = s.again[n:]; len(s.again) == 0 {
+			s.again = nil
+		}
+		return n, nil
 	}
-	return n, err //nolint:wrapcheck // an io.Reader
+	return s.conn.Read(p) //nolint:wrapcheck // an io.Reader
 }
 
 // NewReader returns a reader of the answers on a connection.
 func NewReader(conn io.Reader) *Reader {
-	r := &Reader{source: source{conn: conn, headLeft: -1}}
+	r := &Reader{source: source{conn: conn}}
 	r.buffer = bufio.NewReaderSize(&r.source, bufferSize)
 	return r
 }
@@ -69,41 +52,32 @@
 }
 
 // Buffered returns the number of bytes that have arrived after the last answer.
-func (r *Reader) Buffered() int { return r.buffer.Buffered() }
+func (r *Reader) Buffered() int { return r.buffer.Buffered() + len(r.source.again) }
 
 // Read reads the head of the next answer to a request with a method, skipping informational
-// answers. The body of the answer must be read before the next one.
+// answers. The body of the answer must be read before the next one. Answers are checked before
+// net/http parses them, as it accepts more than RFC 9112 does.
 func (r *Reader) Read(method string) (*http.Response, error) {
-	request := &http.Request{Method: method, URL: &url.URL{Path: "/"}}
-	r.source.headLeft = maxHeadBytes
-	defer func() { r.source.headLeft = -1 }()
-	for {
-		response, err := http.ReadResponse(r.buffer, request)
-		if err == nil && isJoined(response) {
-			err = errJoined
+	for limit := maxHeadBytes; ; {
+		h, err := r.readHead(limit)
+		if err != nil {
+			return nil, err
 		}
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err //nolint:wrapcheck // the callers name what they request
+		limit -= len(h.text)
+		if h.status < http.StatusOK {
+			continue
 		}
+		r.unread(h.text)
+		return http.ReadResponse(r.buffer, &http.Request{Method: method, URL: &url.URL{Path: "/"}}) //nolint:wrapcheck // the callers name what they request
 	}
 }
 
+// unread makes the bytes that were read last the next to be read.
+func (r *Reader) unread(text []byte) {
+	rest, _ := r.buffer.Peek(r.buffer.Buffered()) // never fails, as all of it is buffered
+	r.source.again = append(append(text, rest...), r.source.again...)
+	r.buffer.Reset(&r.source)
+}
+
 // IsFramed reports whether the end of an answer's body is marked, by its length or its chunks.
 func IsFramed(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
-
-// statusLine matches the beginning of an answer.
-var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
-
-// isJoined reports whether the head of an answer holds the beginning of another one. Such an answer
-// may have the status of the one and the id of the other.
-func isJoined(r *http.Response) bool {
-	if statusLine.MatchString(r.Status) {
-		return true
-	}
-	for name, values := range r.Header {
-		if statusLine.MatchString(name) || slices.ContainsFunc(values, statusLine.MatchString) {
-			return true
-		}
-	}
-	return false
-}
--- /dev/null
+++ b/internal/answer/head.go
@@ -0,0 +1,130 @@
+package answer
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// ErrMalformed means that the bytes that arrived are not an answer of HTTP/1.1.
+var ErrMalformed = errors.New("malformed answer")
+
+var errHeadTooLong = fmt.Errorf("%w: head is too long", ErrMalformed)
+
+// maxHeadBytes limits the head of an answer, with the informational answers (1xx)
+// before it.
+const maxHeadBytes = 64 << 10
+
+// head is the head of an answer as it arrived.
+type head struct {
+	text   []byte // with the empty line that ends it
+	status int
+}
+
+// readHead reads a head of at most limit bytes. It fails at the first line that is malformed, as more
+// lines may never come.
+func (r *Reader) readHead(limit int) (head, error) {
+	var h head
+	if err := r.expect(versionPrefix); err != nil {
+		return h, err
+	}
+	for {
+		line, err := r.readLine(&h, limit)
+		if err != nil {
+			return h, err
+		}
+		switch {
+		case h.status == 0:
+			err = h.addStatus(line)
+		case len(line) == 0:
+			return h, nil
+		default:
+			err = h.addField(line)
+		}
+		if err != nil {
+			return h, err
+		}
+	}
+}
+
+// expect fails at the first byte that differs from a text, which remains to be read.
+func (r *Reader) expect(text string) error {
+	for n := range len(text) {
+		got, err := r.buffer.Peek(n + 1)
+		switch {
+		case errors.Is(err, io.EOF):
+			return io.ErrUnexpectedEOF
+		case err != nil:
+			return err //nolint:wrapcheck // the error of the connection
+		case got[n] != text[n]:
+			return fmt.Errorf("%w: begins with %q", ErrMalformed, got)
+		}
+	}
+	return nil
+}
+
+// readLine appends the next line to a head and returns the line without its end.
+func (r *Reader) readLine(h *head, limit int) ([]byte, error) {
+	begin := len(h.text)
+	for {
+		part, err := r.buffer.ReadSlice('\n')
+		h.text = append(h.text, part...)
+		switch {
+		case len(h.text) > limit:
+			return nil, errHeadTooLong
+		case errors.Is(err, bufio.ErrBufferFull):
+		case errors.Is(err, io.EOF):
+			return nil, io.ErrUnexpectedEOF
+		case err != nil:
+			return nil, err //nolint:wrapcheck // the error of the connection
+		default:
+			return bytes.TrimSuffix(bytes.TrimSuffix(h.text[begin:], []byte("\n")), []byte("\r")), nil
+		}
+	}
+}
+
+// versionPrefix is the beginning of each answer.
+const versionPrefix = "HTTP/1."
+
+var (
+	statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] ([1-5][0-9][0-9])(?: (.*))?$`)
+	// joinedLine matches the beginning of another answer within a line.
+	joinedLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
+)
+
+// errJoined means that the head of an answer was cut off, and that of the next one goes on in it. Such
+// an answer may have the status of the one and the id of the other.
+var errJoined = fmt.Errorf("%w: its head goes on with that of another one", ErrMalformed)
+
+// addStatus takes in the status line (RFC 9112, section 4). A client does not ask for another protocol,
+// so that no answer may switch to one.
+func (h *head) addStatus(line []byte) error {
+	parts := statusLine.FindSubmatch(line)
+	if parts == nil || !httpguts.ValidHeaderFieldValue(string(parts[2])) {
+		return fmt.Errorf("%w: status line %.100q", ErrMalformed, line)
+	}
+	if joinedLine.Match(parts[2]) {
+		return errJoined
+	}
+	status, err := strconv.Atoi(string(parts[1]))
+	if err != nil || status == http.StatusSwitchingProtocols {
+		return fmt.Errorf("%w: status %s", ErrMalformed, parts[1])
+	}
+	h.status = status
+	return nil
+}
+
+// addField takes in a header line.
+func (h *head) addField(line []byte) error {
+	if joinedLine.Match(line) {
+		return errJoined
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/testlib/answers.go
@@ -0,0 +1,179 @@
+package testlib
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// RawAnswer is an answer of a server, which need not be sound. Empty parts stand for those of a sound
+// answer with status 200.
+type RawAnswer struct {
+	Name    string
+	Line    string // status line, without its end
+	Before  string // lines before the other header lines, with their ends
+	After   string // lines after them, with their ends
+	Framing string // the last header lines, which tell where the body ends, with their ends
+	Body    func(content string) string
+}
+
+// Text returns the answer with further header lines and the content of its body.
+func (a RawAnswer) Text(headers, content string) string {
+	line, framing, body := a.Line, a.Framing, content
+	if line == "" {
+		line = "HTTP/1.1 200 OK"
+	}
+	if a.Body != nil {
+		body = a.Body(content)
+	}
+	if framing == "" {
+		framing = fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	return line + "\r\n" + a.Before + headers + a.After + framing + "\r\n" + body
+}
+
+// RawConfig says what a RawServer sends.
+type RawConfig struct {
+	First  string        // answer to the first request on a connection; Answer if empty
+	Answer string        // answer to each other request
+	Piece  int           // size of the pieces in which Answer is sent; 0 for the whole
+	Early  bool          // Answer is sent before the body of its request is read
+	Reset  bool          // the connection is reset after Answer
+	Pause  time.Duration // until the reset
+}
+
+// RawServer is a server whose answers need not be sound.
+type RawServer struct {
+	Address  netip.AddrPort
+	config   RawConfig
+	listener net.Listener
+	requests atomic.Int64
+	reuses   atomic.Int64
+}
+
+// pieceInterval is the time between two pieces of an answer.
+const pieceInterval = 200 * time.Microsecond
+
+// rawAddress differs from the addresses of other listeners, as some tests check that nobody listens on a
+// port that they gave back.
+const rawAddress = "127.0.0.2:0"
+
+// windowBytes is about what a connection of a RawServer takes of a body that is not read.
+const windowBytes = 8 << 10
+
+// NewRawServer starts a server, which ends with the test.
+func NewRawServer(t testing.TB, c RawConfig) *RawServer {
+	t.Helper()
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, windowBytes)
+		})
+	}}
+	listener, err := config.Listen(t.Context(), "tcp", rawAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &RawServer{Address: netip.MustParseAddrPort(listener.Addr().String()), config: c, listener: listener}
+	go s.run()
+	return s
+}
+
+// Requests returns the number of requests that were answered with Answer.
+func (s *RawServer) Requests() int { return int(s.requests.Load()) }
+
+// Reuses returns the number of requests that arrived after Answer on the same connection.
+func (s *RawServer) Reuses() int { return int(s.reuses.Load()) }
+
+func (s *RawServer) run() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go (&rawConn{Conn: c, server: s}).run()
+	}
+}
+
+// rawConn is a connection of a RawServer.
+type rawConn struct {
+	net.Conn
+	server *RawServer
+}
+
+func (c *rawConn) run() {
+	defer func() { _ = c.Close() }()
+	config := c.server.config
+	r := bufio.NewReader(c)
+	for first := config.First; ; first = "" {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if first != "" {
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(c, first)
+			continue
+		}
+		c.server.requests.Add(1)
+		c.answer(request)
+		break
+	}
+	if config.Reset {
+		time.Sleep(config.Pause)
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		return
+	}
+	if _, err := http.ReadRequest(r); err == nil {
+		c.server.reuses.Add(1)
+	}
+}
+
+func (c *rawConn) answer(request *http.Request) {
+	config := c.server.config
+	if !config.Early {
+		_, _ = io.Copy(io.Discard, request.Body)
+	}
+	for text := config.Answer; text != ""; {
+		size := len(text)
+		if config.Piece > 0 {
+			size = min(size, config.Piece)
+			time.Sleep(pieceInterval)
+		}
+		if _, err := io.WriteString(c, text[:size]); err != nil {
+			return
+		}
+		text = text[size:]
+	}
+	if config.Early && !config.Reset {
+		_, _ = io.Copy(io.Discard, request.Body)
+	}
+}
+
+// MalformedStatus returns answers without a status that HTTP has.
+func MalformedStatus() []RawAnswer {
+	var list []RawAnswer
+	for _, line := range []string{
+		"HTTP/1.1 000 OK", "HTTP/1.1 001 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK",
+		"HTTP/1.1 +20 OK", "HTTP/1.1 -00 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1  200 OK", "HTTP/1.1 200\tOK", "HTTP/1.1 2x0 OK",
+		"HTTP/1.1 101 Switching Protocols", "HTTP/1.1 200 O\x01K", "HTTP/0.9 200 OK", "HTTP/2.0 200 OK", "http/1.1 200 OK", "ICY 200 OK",
+	} {
+		list = append(list, RawAnswer{Name: strings.ReplaceAll(line, "/", " "), Line: line})
+	}
+	return list
+}
+
+// MalformedHeads returns answers whose heads are none of HTTP/1.1.
+func MalformedHeads() []RawAnswer {
+	return MalformedStatus()
+}
