fix(answer): header lines are fields of HTTP

What callers saw: an answer with a blank in the name of a field was passed on. Where the field was Transfer-Encoding or Content-Length, with a blank after the name or a blank or tab before it, callers got the bytes of chunks as the body, or none before their deadline. A line feed within a head that ends its lines with CRLF ended a field, or the head.

Cause: net/http keeps names with a blank, which it does not look up, joins a line that begins with a blank to the line before it, and takes a bare line feed for the end of any line.

A line that continues another one is refused, as RFC 9112, section 5.2, leaves to a proxy, and so is a head that mixes CRLF and bare line feeds; one that ends all lines with a line feed is read as before.

--- a/internal/answer/head.go
+++ b/internal/answer/head.go
@@ -25,6 +25,7 @@
 // head is the head of an answer as it arrived.
 type head struct {
 	text   []byte // with the empty line that ends it
+	bare   bool   // its lines end with a line feed alone
 	status int
 }
 
@@ -85,11 +86,25 @@
 		case err != nil:
 			return nil, err //nolint:wrapcheck // the error of the connection
 		default:
-			return bytes.TrimSuffix(bytes.TrimSuffix(h.text[begin:], []byte("\n")), []byte("\r")), nil
+			return h.trimEnd(begin)
 		}
 	}
 }
 
+// trimEnd returns the last line, which begins at an index, without its end. Lines may end with a line
+// feed alone if all of them do; otherwise it is a part of a line.
+func (h *head) trimEnd(begin int) ([]byte, error) {
+	line := h.text[begin : len(h.text)-1]
+	line, returned := bytes.CutSuffix(line, []byte("\r"))
+	if begin == 0 {
+		h.bare = !returned
+	}
+	if h.bare == returned {
+		return nil, fmt.Errorf("%w: line feed after %.100q", ErrMalformed, line)
+	}
+	return line, nil
+}
+
 // versionPrefix is the beginning of each answer.
 const versionPrefix = "HTTP/1."
 
@@ -121,10 +136,15 @@
 	return nil
 }
 
-// addField takes in a header line.
+// addField takes in a header line (RFC 9112, section 5). It may not continue the line before it, which a
+// proxy may refuse, since a blank before the name of a field would make it a part of another one.
 func (h *head) addField(line []byte) error {
 	if joinedLine.Match(line) {
 		return errJoined
 	}
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
+		return fmt.Errorf("%w: header line %.100q", ErrMalformed, line)
+	}
 	return nil
 }
--- a/internal/link/answers_test.go
+++ b/internal/link/answers_test.go
@@ -94,3 +94,7 @@
 // Guards against an answer whose status is none of HTTP: callers got it, or waited until their
 // deadline for one that followed (MIXED).
 func TestStatusThatIsNone(t *testing.T) { testMalformed(t, testlib.MalformedStatus()) }
+
+// Guards against an answer with header lines that HTTP does not have: callers got it with that line,
+// or with a body that was not the upstream's (MIXED).
+func TestFieldThatIsNone(t *testing.T) { testMalformed(t, testlib.MalformedFields()) }
--- a/internal/testlib/answers.go
+++ b/internal/testlib/answers.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -173,7 +174,34 @@
 	return list
 }
 
+// MalformedFields returns answers with header lines that HTTP does not have, some of which tell
+// where the body ends.
+func MalformedFields() []RawAnswer {
+	var list []RawAnswer
+	for name, line := range map[string]string{
+		"blank in a name": "X Y: 1\r\n", "blank after a name": "X : 1\r\n", "blank before a name": " X: 1\r\n",
+		"tab in a name": "X\tY: 1\r\n", "tab before a name": "\tX: 1\r\n", "no name": ": 1\r\n", "no colon": "X\r\n",
+		"control byte in a name": "X\x01Y: 1\r\n", "NUL in a name": "X\x00: 1\r\n", "DEL in a name": "X\x7f: 1\r\n",
+		"return in a name": "X\rY: 1\r\n", "line feed in a name": "X\nY: 1\r\n", "line feed before a name": "\nX: 1\r\n",
+		"bracket in a name": "X(Y: 1\r\n", "byte beyond ASCII in a name": "X\xe9: 1\r\n", "long name with a blank": strings.Repeat("x", 5000) + " : 1\r\n",
+		"control byte in a value": "X: a\x01b\r\n", "return in a value": "X: a\rb\r\n", "line feed after a value": "X: a\nY: b\r\n",
+	} {
+		list = append(list, RawAnswer{Name: name, Before: line}, RawAnswer{Name: name + ", last line", After: line})
+	}
+	return append(
+		list,
+		RawAnswer{Name: "blank after Transfer-Encoding", Framing: "Transfer-Encoding : chunked\r\n", Body: chunked},
+		RawAnswer{Name: "blank before Transfer-Encoding", Framing: " Transfer-Encoding: chunked\r\n", Body: chunked},
+		RawAnswer{Name: "blank after Content-Length", Framing: "Content-Length : 1\r\n"},
+		RawAnswer{Name: "tab before Content-Length", Framing: "\tContent-Length: 1\r\n"},
+	)
+}
+
+func chunked(content string) string {
+	return fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(content), content)
+}
+
 // MalformedHeads returns answers whose heads are none of HTTP/1.1.
 func MalformedHeads() []RawAnswer {
-	return MalformedStatus()
+	return slices.Concat(MalformedStatus(), MalformedFields())
 }
