fix(answer): an answer tells in one way where its body ends

What callers saw: of an HTTP/1.0 answer with Transfer-Encoding and a length they got the first bytes of the chunks as the body; without a length, they waited for the end of the connection until their deadline. With both fields, the chunks counted, and the length told others something else. An informational answer with either field was skipped, and its body, had one come, would have been read as the next head. After a 204 that announced a body the connection was used again, so that this body came before the next answer.

Cause: net/http drops Transfer-Encoding of HTTP/1.0 and Content-Length beside Transfer-Encoding, and the reader used what was left.

Such heads are refused, as RFC 9112, section 6, advises; the connection of a 204 that announces a body is closed.

Lengths that contradict each other or are no numbers, and broken chunks, were refused already; their tests stay.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -68,7 +68,12 @@
 			continue
 		}
 		r.unread(h.text)
-		return http.ReadResponse(r.buffer, &http.Request{Method: method, URL: &url.URL{Path: "/"}}) //nolint:wrapcheck // the callers name what they request
+		response, err := http.ReadResponse(r.buffer, &http.Request{Method: method, URL: &url.URL{Path: "/"}})
+		if err != nil {
+			return nil, err //nolint:wrapcheck // the callers name what they request
+		}
+		response.Close = response.Close || h.announcesNoContent(response.Header)
+		return response, nil
 	}
 }
 
--- a/internal/answer/head.go
+++ b/internal/answer/head.go
@@ -26,7 +26,10 @@
 type head struct {
 	text   []byte // with the empty line that ends it
 	bare   bool   // its lines end with a line feed alone
+	minor  byte   // minor version of HTTP, as a digit
 	status int
+	length bool // it has Content-Length
+	coding bool // it has Transfer-Encoding
 }
 
 // readHead reads a head of at most limit bytes. It fails at the first line that is malformed, as more
@@ -45,7 +48,7 @@
 		case h.status == 0:
 			err = h.addStatus(line)
 		case len(line) == 0:
-			return h, nil
+			return h, h.checkFraming()
 		default:
 			err = h.addField(line)
 		}
@@ -109,7 +112,7 @@
 const versionPrefix = "HTTP/1."
 
 var (
-	statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] ([1-5][0-9][0-9])(?: (.*))?$`)
+	statusLine = regexp.MustCompile(`^HTTP/1\.([0-9]) ([1-5][0-9][0-9])(?: (.*))?$`)
 	// joinedLine matches the beginning of another answer within a line.
 	joinedLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
 )
@@ -122,17 +125,17 @@
 // so that no answer may switch to one.
 func (h *head) addStatus(line []byte) error {
 	parts := statusLine.FindSubmatch(line)
-	if parts == nil || !httpguts.ValidHeaderFieldValue(string(parts[2])) {
+	if parts == nil || !httpguts.ValidHeaderFieldValue(string(parts[3])) {
 		return fmt.Errorf("%w: status line %.100q", ErrMalformed, line)
 	}
-	if joinedLine.Match(parts[2]) {
+	if joinedLine.Match(parts[3]) {
 		return errJoined
 	}
-	status, err := strconv.Atoi(string(parts[1]))
+	status, err := strconv.Atoi(string(parts[2]))
 	if err != nil || status == http.StatusSwitchingProtocols {
-		return fmt.Errorf("%w: status %s", ErrMalformed, parts[1])
+		return fmt.Errorf("%w: status %s", ErrMalformed, parts[2])
 	}
-	h.status = status
+	h.minor, h.status = parts[1][0], status
 	return nil
 }
 
@@ -146,5 +149,29 @@
 	if !ok || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
 		return fmt.Errorf("%w: header line %.100q", ErrMalformed, line)
 	}
+	h.length = h.length || bytes.EqualFold(name, []byte("Content-Length"))
+	h.coding = h.coding || bytes.EqualFold(name, []byte("Transfer-Encoding"))
 	return nil
 }
+
+// errFraming means that two clients may take different bytes for the body of an answer.
+var errFraming = fmt.Errorf("%w: length of the body is uncertain", ErrMalformed)
+
+// announcesNoContent reports whether a body is announced for an answer that has none. It may follow, and
+// then comes before the next answer.
+func (h *head) announcesNoContent(fields http.Header) bool {
+	length := fields.Get("Content-Length")
+	return h.status == http.StatusNoContent && (h.coding || h.length && length != "0")
+}
+
+// checkFraming checks the fields that tell where the body ends (RFC 9112, section 6), as far as net/http
+// does not. An informational answer has no body, and neither of them.
+func (h *head) checkFraming() error {
+	informational := h.status < http.StatusOK
+	switch {
+	case h.coding && (h.length || h.minor == '0' || informational), h.length && informational:
+		return errFraming
+	default:
+		return nil
+	}
+}
--- a/internal/link/answers_test.go
+++ b/internal/link/answers_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -98,3 +99,36 @@
 // Guards against an answer with header lines that HTTP does not have: callers got it with that line,
 // or with a body that was not the upstream's (MIXED).
 func TestFieldThatIsNone(t *testing.T) { testMalformed(t, testlib.MalformedFields()) }
+
+// Guards against an answer of which it is not certain where it ends: callers got another body than
+// the upstream's (MIXED).
+func TestLengthThatIsUncertain(t *testing.T) {
+	testMalformed(t, slices.Concat(testlib.MalformedLengths(), testlib.MalformedBodies()))
+}
+
+// Guards against a body that comes after an answer that has none, and ahead of the answer to the next
+// request on the connection.
+func TestNoContentWithABody(t *testing.T) {
+	const line = "HTTP/1.1 204 No Content\r\n"
+	for _, c := range []struct {
+		name, head string
+		reused     int
+	}{
+		{"none", line + "\r\n", 1},
+		{"length of 0", line + "Content-Length: 0\r\n\r\n", 1},
+		{"length", line + "Content-Length: 5\r\n\r\n", 0},
+		{"chunks", line + "Transfer-Encoding: chunked\r\n\r\n", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := testlib.NewRawServer(t, testlib.RawConfig{Answer: c.head})
+			pool := link.NewPool(link.Config{DialTimeout: answerTime, IdleTimeout: answerTime, MaxIdle: 1}, func() {})
+			status, body, err := ask(t, pool, s, link.Request{Method: http.MethodGet})
+			is.NoErr(err)
+			is.Equal(status, http.StatusNoContent)
+			is.Equal(body, "")
+			_, _, _ = ask(t, pool, s, link.Request{Method: http.MethodGet})
+			is.Equal(s.Reuses(), c.reused)
+		})
+	}
+}
--- a/internal/testlib/answers.go
+++ b/internal/testlib/answers.go
@@ -197,11 +197,41 @@
 	)
 }
 
+// MalformedLengths returns answers that do not tell where their bodies end.
+func MalformedLengths() []RawAnswer {
+	return []RawAnswer{
+		{Name: "length and chunks", Framing: "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", Body: chunked},
+		{Name: "chunks in HTTP 1.0", Line: "HTTP/1.0 200 OK", Framing: "Transfer-Encoding: chunked\r\n", Body: chunked},
+		{Name: "length and chunks in HTTP 1.0", Line: "HTTP/1.0 200 OK", Framing: "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", Body: chunked},
+		{Name: "two lengths", Framing: "Content-Length: 1\r\nContent-Length: 2\r\n"},
+		{Name: "list of two lengths", Framing: "Content-Length: 1, 2\r\n"},
+		{Name: "length with a sign", Framing: "Content-Length: +1\r\n"},
+		{Name: "length below zero", Framing: "Content-Length: -1\r\n"},
+		{Name: "length that is no number", Framing: "Content-Length: 1x\r\n"},
+		{Name: "empty length", Framing: "Content-Length:\r\n"},
+		{Name: "length beyond 64 bits", Framing: "Content-Length: 99999999999999999999\r\n"},
+		{Name: "another encoding", Framing: "Transfer-Encoding: gzip, chunked\r\n", Body: chunked},
+		{Name: "chunked twice", Framing: "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", Body: chunked},
+		{Name: "informational answer with a length", Line: "HTTP/1.1 103 Early Hints\r\nContent-Length: 1\r\n\r\nHTTP/1.1 200 OK"},
+		{Name: "informational answer with chunks", Line: "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/1.1 200 OK"},
+	}
+}
+
+// MalformedBodies returns answers whose heads are sound.
+func MalformedBodies() []RawAnswer {
+	return []RawAnswer{
+		{Name: "chunk without a size", Framing: "Transfer-Encoding: chunked\r\n", Body: func(content string) string { return "\r\n" + chunked(content) }},
+		{Name: "chunk size with a sign", Framing: "Transfer-Encoding: chunked\r\n", Body: func(content string) string { return "+" + chunked(content) }},
+		{Name: "chunk longer than its size", Framing: "Transfer-Encoding: chunked\r\n", Body: func(content string) string { return "1\r\n" + content + "\r\n0\r\n\r\n" }},
+		{Name: "trailer that is no field", Framing: "Transfer-Encoding: chunked\r\n", Body: func(content string) string { return strings.TrimSuffix(chunked(content), "\r\n") + "X\r\n\r\n" }},
+	}
+}
+
 func chunked(content string) string {
 	return fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(content), content)
 }
 
 // MalformedHeads returns answers whose heads are none of HTTP/1.1.
 func MalformedHeads() []RawAnswer {
-	return slices.Concat(MalformedStatus(), MalformedFields())
+	return slices.Concat(MalformedStatus(), MalformedFields(), MalformedLengths())
 }
