fix(answer): an answer without a length needs the end of its connection

What callers saw: an upstream answered a long upload at once with a 200 that had no length, sent a part of the body and reset the connection; the caller got the part as the whole answer. The same held for replies of plain services in tanagerlb serve and for streams that end with their connection.

Cause: the kernel reports a reset once. While the request is still written, mostly the write gets it, in another goroutine than the read, and the read then finds what looks like a regular end of the connection.

The end of an answer that ends with its connection counts only when the send of its request has ended without an error (RFC 9112, section 8: complete unless the connection indicated an error). An upstream that has ended its side gets a second for the rest of the request, so that a whole answer isn't held until the deadline if it takes no more. The request may have run: it is sent again only if it is idempotent.

Answers with a length, and resets after the upload, were read correctly already; their tests stay.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -4,6 +4,8 @@
 
 import (
 	"bufio"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -54,10 +56,17 @@
 // Buffered returns the number of bytes that have arrived after the last answer.
 func (r *Reader) Buffered() int { return r.buffer.Buffered() + len(r.source.again) }
 
-// Read reads the head of the next answer to a request with a method, skipping informational
-// answers. The body of the answer must be read before the next one. Answers are checked before
+// Request is what the answer to a request depends on.
+type Request struct {
+	Method string
+	// Sent waits until the send of the request has ended, and returns its error. It is called at the end
+	// of an answer that ends with its connection.
+	Sent func() error
+}
+
+// Read reads the head of the next answer to a request, skipping informational answers. The body of the answer must be read before the next one. Answers are checked before
 // net/http parses them, as it accepts more than RFC 9112 does.
-func (r *Reader) Read(method string) (*http.Response, error) {
+func (r *Reader) Read(request Request) (*http.Response, error) {
 	for limit := maxHeadBytes; ; {
 		h, err := r.readHead(limit)
 		if err != nil {
@@ -68,11 +77,14 @@
 			continue
 		}
 		r.unread(h.text)
-		response, err := http.ReadResponse(r.buffer, &http.Request{Method: method, URL: &url.URL{Path: "/"}})
+		response, err := http.ReadResponse(r.buffer, &http.Request{Method: request.Method, URL: &url.URL{Path: "/"}})
 		if err != nil {
 			return nil, err //nolint:wrapcheck // the callers name what they request
 		}
 		response.Close = response.Close || h.announcesNoContent(response.Header)
+		if !IsFramed(response) && response.Body != http.NoBody {
+			response.Body = unframedBody{ReadCloser: response.Body, sent: request.Sent}
+		}
 		return response, nil
 	}
 }
@@ -84,5 +96,23 @@
 	r.buffer.Reset(&r.source)
 }
 
+// unframedBody is the body of an answer that ends with its connection. It is complete only if that was
+// not reset (RFC 9112, section 8).
+type unframedBody struct {
+	io.ReadCloser
+	sent func() error
+}
+
+// Read implements io.Reader.
+func (b unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if sendErr := b.sent(); sendErr != nil {
+			return n, fmt.Errorf("connection ended while the request was sent: %w", sendErr)
+		}
+	}
+	return n, err //nolint:wrapcheck // an io.Reader
+}
+
 // IsFramed reports whether the end of an answer's body is marked, by its length or its chunks.
 func IsFramed(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -144,7 +144,7 @@
 	address  netip.AddrPort
 	conn     *conn
 	stop     func() bool // keeps the end of the context from closing conn; returns false if the context has already ended
-	sent     chan error  // result of sending the request
+	sender   *sender
 }
 
 // Do sends a request to the upstream at an address and returns when the headers
@@ -161,11 +161,11 @@
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
 	}
-	x := &Exchange{Reused: c.used, pool: p, address: address, conn: c, sent: make(chan error, 1)}
+	w := &sender{conn: c, data: r.encode(), ended: make(chan struct{})}
+	x := &Exchange{Reused: c.used, pool: p, address: address, conn: c, sender: w}
 	c.used = true
 	r.Sends.add(c)
 	x.stop = context.AfterFunc(ctx, c.abort)
-	w := &sender{conn: c, data: r.encode(), sent: x.sent}
 	if len(r.Body) <= maxInlineBytes {
 		w.run()
 	} else {
@@ -173,13 +173,14 @@
 		// read while the body is sent.
 		go w.run()
 	}
+	request := answer.Request{Method: r.Method, Sent: func() error { return w.finish(time.Now()) }}
 	if err = p.awaitAnswer(time.Now(), address, c, r); err == nil {
-		x.Response, err = c.answers.Read(r.Method) //nolint:bodyclose // by Close
+		x.Response, err = c.answers.Read(request) //nolint:bodyclose // by Close
 	}
 	for err == nil && x.Reused && x.Skipped < maxSkipped && r.skips(x.Response) {
 		x.Skipped++
 		if err = skip(x.Response); err == nil {
-			x.Response, err = c.answers.Read(r.Method) //nolint:bodyclose // by Close
+			x.Response, err = c.answers.Read(request) //nolint:bodyclose // by Close
 		}
 	}
 	if err != nil {
@@ -253,14 +254,30 @@
 
 // sender writes an encoded request to a connection.
 type sender struct {
-	conn net.Conn
-	data []byte
-	sent chan<- error
+	conn  net.Conn
+	data  []byte
+	ended chan struct{} // closed when err is set
+	err   error
 }
 
 func (s *sender) run() {
-	_, err := s.conn.Write(s.data)
-	s.sent <- err
+	_, s.err = s.conn.Write(s.data)
+	close(s.ended)
+}
+
+// resetTime is how long the reset of a connection may take to arrive after its end.
+const resetTime = time.Second
+
+// finish gives the upstream, which has ended its side of the connection, resetTime to take the rest of
+// the request. It returns an error if the connection was reset. The kernel reports a reset once, so that
+// the write may have got it, and not the reads.
+func (s *sender) finish(now time.Time) error {
+	_ = s.conn.SetWriteDeadline(now.Add(resetTime)) // fails only if the connection is closed, which the write tells
+	<-s.ended
+	if errors.Is(s.err, os.ErrDeadlineExceeded) {
+		return nil // the upstream only takes no more bytes
+	}
+	return s.err
 }
 
 // encode returns the request in HTTP/1.1 format.
@@ -285,8 +302,8 @@
 func (x *Exchange) Close(now time.Time, complete bool) {
 	intact := x.stop()
 	select {
-	case err := <-x.sent:
-		complete = complete && err == nil
+	case <-x.sender.ended:
+		complete = complete && x.sender.err == nil
 	default: // the upstream answered before the request was sent completely
 		complete = false
 	}
--- a/internal/plain/malformed_test.go
+++ b/internal/plain/malformed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -28,3 +29,17 @@
 		})
 	}
 }
+
+// Guards against a part of a reply that counts as a whole one, since the upstream has reset the
+// connection while a long call was sent.
+func TestReplyThatIsResetDuringTheUploadIsIncomplete(t *testing.T) {
+	const plays, upload = 10, 8 << 20
+	client := NewClient(Config{DialTimeout: time.Second})
+	for range plays {
+		is := is.New(t)
+		s := testlib.NewRawServer(t, testlib.RawConfig{Answer: "HTTP/1.1 200 OK\r\n\r\npart", Early: true, Reset: true})
+		_, err := client.Call(t.Context(), s.Address, Call{Name: "x", Body: strings.Repeat("x", upload)})
+		is.True(errors.Is(err, ErrIncomplete))
+		is.Equal(s.Requests(), 1)
+	}
+}
--- a/internal/testlib/answers.go
+++ b/internal/testlib/answers.go
@@ -48,7 +48,8 @@
 	Piece  int           // size of the pieces in which Answer is sent; 0 for the whole
 	Early  bool          // Answer is sent before the body of its request is read
 	Reset  bool          // the connection is reset after Answer
-	Pause  time.Duration // until the reset
+	End    bool          // the server's side of the connection is ended after Answer
+	Pause  time.Duration // from Answer to the reset, or until the rest of the body is read
 }
 
 // RawServer is a server whose answers need not be sound.
@@ -68,7 +69,7 @@
 const rawAddress = "127.0.0.2:0"
 
 // windowBytes is about what a connection of a RawServer takes of a body that is not read.
-const windowBytes = 8 << 10
+const windowBytes = 64 << 10
 
 // NewRawServer starts a server, which ends with the test.
 func NewRawServer(t testing.TB, c RawConfig) *RawServer {
@@ -100,13 +101,15 @@
 		if err != nil {
 			return
 		}
-		go (&rawConn{Conn: c, server: s}).run()
+		if tcp, ok := c.(*net.TCPConn); ok {
+			go (&rawConn{TCPConn: tcp, server: s}).run()
+		}
 	}
 }
 
 // rawConn is a connection of a RawServer.
 type rawConn struct {
-	net.Conn
+	*net.TCPConn
 	server *RawServer
 }
 
@@ -130,9 +133,7 @@
 	}
 	if config.Reset {
 		time.Sleep(config.Pause)
-		if tcp, ok := c.Conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
+		_ = c.SetLinger(0)
 		return
 	}
 	if _, err := http.ReadRequest(r); err == nil {
@@ -156,7 +157,11 @@
 		}
 		text = text[size:]
 	}
+	if config.End {
+		_ = c.CloseWrite()
+	}
 	if config.Early && !config.Reset {
+		time.Sleep(config.Pause)
 		_, _ = io.Copy(io.Discard, request.Body)
 	}
 }
