fix(relay): an encoded answer of a plain service is not its body

What callers saw: an answer of a service without engines with Content-Encoding was passed on to callers that had not asked for an encoding, and was the reply of a plain service in tanagerlb serve, without its encoding.

Cause: only answers of engines were checked. The check stands with the reader of answers now, for all three. A caller whose Accept-Encoding names an encoding gets the answer, as before.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -116,3 +116,9 @@
 
 // IsFramed reports whether the end of an answer's body is marked, by its length or its chunks.
 func IsFramed(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
+
+// IsEncoded reports whether the body of an answer is not the one that the upstream made.
+func IsEncoded(r *http.Response) bool {
+	encoding := r.Header.Get("Content-Encoding")
+	return encoding != "" && encoding != "identity"
+}
--- a/internal/infer/infer.go
+++ b/internal/infer/infer.go
@@ -20,6 +20,7 @@
 	"strings"
 	"time"
 
+	"github.com/tanagerlb/tanagerlb/internal/answer"
 	"github.com/tanagerlb/tanagerlb/internal/link"
 )
 
@@ -166,8 +167,7 @@
 // isStream reports whether a response is a stream of events whose body is not encoded.
 func isStream(r *http.Response) bool {
 	media, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
-	encoding := r.Header.Get("Content-Encoding")
-	return err == nil && media == "text/event-stream" && (encoding == "" || encoding == "identity")
+	return err == nil && media == "text/event-stream" && !answer.IsEncoded(r)
 }
 
 // readEvents reads the server-sent events of a completion until the end marker and
--- a/internal/plain/malformed_test.go
+++ b/internal/plain/malformed_test.go
@@ -43,3 +43,11 @@
 		is.Equal(s.Requests(), 1)
 	}
 }
+
+// Guards against an encoded body that callers get as the reply, which has no field for its encoding.
+func TestEncodedAnswerIsNoReply(t *testing.T) {
+	is := is.New(t)
+	s := testlib.NewRawServer(t, testlib.RawConfig{Answer: "HTTP/1.1 200 OK\r\nContent-Encoding: br\r\nContent-Length: 1\r\n\r\nx"})
+	_, err := NewClient(Config{DialTimeout: time.Second}).Call(t.Context(), s.Address, Call{Name: "x", Body: "b"})
+	is.True(errors.Is(err, ErrIncomplete))
+}
--- a/internal/plain/plain.go
+++ b/internal/plain/plain.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"github.com/tanagerlb/tanagerlb/internal/answer"
 	"github.com/tanagerlb/tanagerlb/internal/link"
 	"github.com/tanagerlb/tanagerlb/pkg/crash"
 )
@@ -83,6 +84,9 @@
 		return Reply{}, classify(err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if answer.IsEncoded(response) {
+		return Reply{}, fmt.Errorf("%w: the body is encoded", ErrIncomplete)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReply+1))
 	if err != nil || len(body) > maxReply {
 		return Reply{}, fmt.Errorf("%w: %w", ErrIncomplete, err)
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/tanagerlb/tanagerlb/internal/answer"
 	"github.com/tanagerlb/tanagerlb/internal/link"
 	"github.com/tanagerlb/tanagerlb/pkg/health"
 	"github.com/tanagerlb/tanagerlb/pkg/roster"
@@ -161,13 +162,13 @@
 		return result{outcome: health.Failed, reason: "answer to another request", status: http.StatusBadGateway}
 	}
 	x.observe(run, reply)
-	switch {
-	case reply.NotExecuted:
+	if reply.NotExecuted {
 		discard(e)
 		return result{outcome: health.Refused, reason: "upstream did not run it", notRun: true, status: http.StatusServiceUnavailable}
-	case !reply.Signed:
+	}
+	if reason := x.defect(e.Response, reply); reason != "" {
 		e.Close(time.Now(), false)
-		return result{outcome: health.Failed, reason: "answer bears no signature", status: http.StatusBadGateway}
+		return result{outcome: health.Failed, reason: reason, status: http.StatusBadGateway}
 	}
 	body, err := x.readAnswer(e)
 	if err != nil {
@@ -181,6 +182,24 @@
 	return r
 }
 
+// defect returns why the caller must not get an answer; empty if it may.
+func (x *exchange) defect(response *http.Response, reply platform.ResponseInfo) string {
+	switch {
+	case !reply.Signed:
+		return "answer bears no signature"
+	case answer.IsEncoded(response) && !x.takesEncoded():
+		return "answer is encoded"
+	default:
+		return ""
+	}
+}
+
+// takesEncoded reports whether the caller has asked for encoded bodies.
+func (x *exchange) takesEncoded() bool {
+	encodings := x.r.Header.Get("Accept-Encoding")
+	return encodings != "" && encodings != "identity"
+}
+
 // shouldResend reports whether to send a request again after a failed send. If so,
 // it charges the retry budget, unless no byte of the request reached the upstream.
 func (x *exchange) shouldResend(u roster.Upstream, r result) bool {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -214,7 +214,7 @@
 	case !reply.Signed:
 		e.Close(time.Now(), false)
 		return x.handleBroken(slot, "answer bears no signature", nil)
-	case isEncoded(e.Response):
+	case answer.IsEncoded(e.Response):
 		e.Close(time.Now(), false)
 		return x.handleBroken(slot, "answer is encoded", nil)
 	}
