fix(vms): an error of the VM list is no list

What callers of tanagerlb serve could see: while the platform's list of VMs answered with an error whose body is a JSON list, such as [], the VMs took it for the list, and each other for gone.

Cause: the reader of the list did not look at the status; all other readers do. An answer other than 200 is an error now, after which the VM keeps its list, as after a connection that broke.

Before: TestErrorIsNoList failed for 404, 500 and 503.

--- a/internal/vms/vms.go
+++ b/internal/vms/vms.go
@@ -80,6 +80,9 @@
 		return nil, fmt.Errorf("read the VM list: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("read the VM list: status %d", response.StatusCode)
+	}
 	var entries []wireVM
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxList)).Decode(&entries); err != nil {
 		return nil, fmt.Errorf("read the VM list: %w", err)
