refactor(answer): names and comments after reading the diff again

source.unread, announcesBody; errors of net/http for a head wrap ErrMalformed like all others. Tests of internal/answer and internal/link pass.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -22,18 +22,18 @@
 	buffer *bufio.Reader
 }
 
-// source is a connection whose bytes come after those that were read before and are to be read again.
+// source returns bytes that were read before, and then those of a connection.
 type source struct {
-	again []byte
-	conn  io.Reader
+	unread []byte
+	conn   io.Reader
 }
 
 // Read implements io.Reader.
 func (s *source) Read(p []byte) (int, error) {
-	if len(s.again) > 0 {
-		n := copy(p, s.again)
-		if s.again = s.again[n:]; len(s.again) == 0 {
-			s.again = nil
+	if len(s.unread) > 0 {
+		n := copy(p, s.unread)
+		if s.unread = s.unread[n:]; len(s.unread) == 0 {
+			s.unread = nil // frees the memory
 		}
 		return n, nil
 	}
@@ -54,18 +54,19 @@
 }
 
 // Buffered returns the number of bytes that have arrived after the last answer.
-func (r *Reader) Buffered() int { return r.buffer.Buffered() + len(r.source.again) }
+func (r *Reader) Buffered() int { return r.buffer.Buffered() + len(r.source.unread) }
 
 // Request is what the answer to a request depends on.
 type Request struct {
 	Method string
-	// Sent waits until the send of the request has ended, and returns its error. It is called at the end
-	// of an answer that ends with its connection.
+	// Sent waits until the request was sent, and returns an error if the connection was reset meanwhile.
+	// It is called at the end of an answer that ends with its connection.
 	Sent func() error
 }
 
-// Read reads the head of the next answer to a request, skipping informational answers. The body of the answer must be read before the next one. Answers are checked before
-// net/http parses them, as it accepts more than RFC 9112 does.
+// Read reads the head of the next answer to a request, skipping informational answers. The body of the
+// answer must be read before the next one. An error wraps ErrMalformed if the head is none of HTTP/1.1;
+// heads are checked before net/http parses them, as it accepts more than RFC 9112 does.
 func (r *Reader) Read(request Request) (*http.Response, error) {
 	for limit := maxHeadBytes; ; {
 		h, err := r.readHead(limit)
@@ -79,9 +80,9 @@
 		r.unread(h.text)
 		response, err := http.ReadResponse(r.buffer, &http.Request{Method: request.Method, URL: &url.URL{Path: "/"}})
 		if err != nil {
-			return nil, err //nolint:wrapcheck // the callers name what they request
+			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 		}
-		response.Close = response.Close || h.announcesNoContent(response.Header)
+		response.Close = response.Close || h.announcesBody(response.Header)
 		if !IsFramed(response) && response.Body != http.NoBody {
 			response.Body = unframedBody{ReadCloser: response.Body, sent: request.Sent}
 		}
@@ -89,10 +90,10 @@
 	}
 }
 
-// unread makes the bytes that were read last the next to be read.
+// unread makes a text that was read last the next to be read.
 func (r *Reader) unread(text []byte) {
 	rest, _ := r.buffer.Peek(r.buffer.Buffered()) // never fails, as all of it is buffered
-	r.source.again = append(append(text, rest...), r.source.again...)
+	r.source.unread = append(append(text, rest...), r.source.unread...)
 	r.buffer.Reset(&r.source)
 }
 
@@ -117,7 +118,8 @@
 // IsFramed reports whether the end of an answer's body is marked, by its length or its chunks.
 func IsFramed(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
 
-// IsEncoded reports whether the body of an answer is not the one that the upstream made.
+// IsEncoded reports whether the body of an answer is encoded, so that it is not the one that the upstream
+// made.
 func IsEncoded(r *http.Response) bool {
 	encoding := r.Header.Get("Content-Encoding")
 	return encoding != "" && encoding != "identity"
--- a/internal/answer/head.go
+++ b/internal/answer/head.go
@@ -27,9 +27,9 @@
 	text   []byte // with the empty line that ends it
 	bare   bool   // its lines end with a line feed alone
 	minor  byte   // minor version of HTTP, as a digit
-	status int
-	length bool // it has Content-Length
-	coding bool // it has Transfer-Encoding
+	status int    // 0 before the status line
+	length bool   // it has Content-Length
+	coding bool   // it has Transfer-Encoding
 }
 
 // readHead reads a head of at most limit bytes. It fails at the first line that is malformed, as more
@@ -94,8 +94,8 @@
 	}
 }
 
-// trimEnd returns the last line, which begins at an index, without its end. Lines may end with a line
-// feed alone if all of them do; otherwise it is a part of a line.
+// trimEnd returns the last line, which begins at an index, without its end. Lines may end with a bare
+// line feed if all of them do; in a head with other line ends it is a byte of a name or value.
 func (h *head) trimEnd(begin int) ([]byte, error) {
 	line := h.text[begin : len(h.text)-1]
 	line, returned := bytes.CutSuffix(line, []byte("\r"))
@@ -157,9 +157,9 @@
 // errFraming means that two clients may take different bytes for the body of an answer.
 var errFraming = fmt.Errorf("%w: length of the body is uncertain", ErrMalformed)
 
-// announcesNoContent reports whether a body is announced for an answer that has none. It may follow, and
-// then comes before the next answer.
-func (h *head) announcesNoContent(fields http.Header) bool {
+// announcesBody reports whether an answer that has no body (204) announces one. It may follow, and then
+// comes before the next answer.
+func (h *head) announcesBody(fields http.Header) bool {
 	length := fields.Get("Content-Length")
 	return h.status == http.StatusNoContent && (h.coding || h.length && length != "0")
 }
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -13,7 +13,7 @@
 
 // NewClient returns an HTTP client that reads answers as a Pool does. It sends each request once and
 // follows no redirects. The hosts of its requests are IP addresses with ports. Its errors wrap
-// ErrNotSent or ErrBroken. If MaxIdle is 0, it opens a new connection for each request.
+// ErrNotSent or ErrBroken.
 func NewClient(c Config) *http.Client {
 	return &http.Client{
 		Transport:     &transport{pool: NewPool(c, func() {}), config: c},
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -39,7 +39,7 @@
 type Config struct {
 	DialTimeout time.Duration // timeout for opening a connection; 0 for no limit
 	IdleTimeout time.Duration // time for which an idle connection is kept, unless the upstream's Keep-Alive header sets one
-	MaxIdle     int           // maximum number of idle connections per upstream
+	MaxIdle     int           // maximum number of idle connections per upstream; 0 for none
 	// KeepAlive sets the probes of connections. The zero value is for none: an upstream that is silent
 	// for a time goes on, and each exchange ends by its deadline.
 	KeepAlive net.KeepAliveConfig
@@ -144,7 +144,7 @@
 	address  netip.AddrPort
 	conn     *conn
 	stop     func() bool // keeps the end of the context from closing conn; returns false if the context has already ended
-	sender   *sender
+	sender   *sender     // of the request
 }
 
 // Do sends a request to the upstream at an address and returns when the headers
