perf(answer): status lines are parsed without a regular expression

One answer with eight header lines and 300 bytes: 8.8 us and 26 allocations before, 5.6 us and 20 after; net/http alone takes 3.3 us and 17 (one run each, beside other load). The tests of internal/answer and internal/link pass.

--- a/internal/answer/answer_test.go
+++ b/internal/answer/answer_test.go
@@ -28,7 +28,7 @@
 	fmt.Println(errors.Is(err, answer.ErrMalformed), err)
 	// Output:
 	// 200 yes <nil> <nil>
-	// true malformed answer: status line "HTTP/1.1 000 OK"
+	// true malformed answer: status 000
 }
 
 // What is read as an answer has a status and fields of HTTP, and its bytes are read once.
--- a/internal/answer/head.go
+++ b/internal/answer/head.go
@@ -39,6 +39,7 @@
 	if err := r.expect(versionPrefix); err != nil {
 		return h, err
 	}
+	h.text = make([]byte, 0, r.buffer.Buffered())
 	for {
 		line, err := r.readLine(&h, limit)
 		if err != nil {
@@ -111,11 +112,13 @@
 // versionPrefix is the beginning of each answer.
 const versionPrefix = "HTTP/1."
 
-var (
-	statusLine = regexp.MustCompile(`^HTTP/1\.([0-9]) ([1-5][0-9][0-9])(?: (.*))?$`)
-	// joinedLine matches the beginning of another answer within a line.
-	joinedLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
-)
+// joinedLine matches the beginning of another answer within a line.
+var joinedLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
+
+// isJoined reports whether a line holds the beginning of another answer.
+func isJoined(line []byte) bool {
+	return bytes.Contains(line, []byte(versionPrefix)) && joinedLine.Match(line)
+}
 
 // errJoined means that the head of an answer was cut off, and that of the next one goes on in it. Such
 // an answer may have the status of the one and the id of the other.
@@ -124,25 +127,36 @@
 // addStatus takes in the status line (RFC 9112, section 4). A client does not ask for another protocol,
 // so that no answer may switch to one.
 func (h *head) addStatus(line []byte) error {
-	parts := statusLine.FindSubmatch(line)
-	if parts == nil || !httpguts.ValidHeaderFieldValue(string(parts[3])) {
+	const begin, end = len("HTTP/1.1 "), len("HTTP/1.1 200")
+	if len(line) < end || line[begin-1] != ' ' || !areDigits(line[begin-2:begin-1]) || !areDigits(line[begin:end]) {
 		return fmt.Errorf("%w: status line %.100q", ErrMalformed, line)
 	}
-	if joinedLine.Match(parts[3]) {
+	reason := line[end:]
+	if len(reason) > 0 && reason[0] != ' ' || !httpguts.ValidHeaderFieldValue(string(reason)) {
+		return fmt.Errorf("%w: reason in %.100q", ErrMalformed, line)
+	}
+	if isJoined(reason) {
 		return errJoined
 	}
-	status, err := strconv.Atoi(string(parts[2]))
-	if err != nil || status == http.StatusSwitchingProtocols {
-		return fmt.Errorf("%w: status %s", ErrMalformed, parts[2])
+	status, err := strconv.Atoi(string(line[begin:end]))
+	if err != nil || status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return fmt.Errorf("%w: status %s", ErrMalformed, line[begin:end])
 	}
-	h.minor, h.status = parts[1][0], status
+	h.minor, h.status = line[begin-2], status
 	return nil
 }
 
+// maxStatus is the highest status of HTTP (RFC 9110, section 15).
+const maxStatus = 599
+
+func areDigits(text []byte) bool {
+	return !bytes.ContainsFunc(text, func(r rune) bool { return r < '0' || r > '9' })
+}
+
 // addField takes in a header line (RFC 9112, section 5). It may not continue the line before it, which a
 // proxy may refuse, since a blank before the name of a field would make it a part of another one.
 func (h *head) addField(line []byte) error {
-	if joinedLine.Match(line) {
+	if isJoined(line) {
 		return errJoined
 	}
 	name, value, ok := bytes.Cut(line, []byte(":"))
