refactor(relay): one check of what keeps an answer from its caller

The path of plain services got the checks of the signature and the encoding that the path of engines had, word for word. exchange.defect serves both now; an engine's answer is refused if it is encoded, as before, also when the caller has asked for that. head.announcesBody reads the length from one place.

Behaviour is the same.

--- a/internal/answer/head.go
+++ b/internal/answer/head.go
@@ -175,7 +175,7 @@
 // comes before the next answer.
 func (h *head) announcesBody(fields http.Header) bool {
 	length := fields.Get("Content-Length")
-	return h.status == http.StatusNoContent && (h.coding || h.length && length != "0")
+	return h.status == http.StatusNoContent && (h.coding || length != "" && length != "0")
 }
 
 // checkFraming checks the fields that tell where the body ends (RFC 9112, section 6), as far as net/http
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -4,10 +4,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/tanagerlb/tanagerlb/internal/answer"
 	"github.com/tanagerlb/tanagerlb/internal/link"
 	"github.com/tanagerlb/tanagerlb/pkg/roster"
 	"github.com/tanagerlb/tanagerlb/platform"
@@ -41,12 +43,31 @@
 	return reply.ID == x.call.ID
 }
 
+// defect returns why the caller must not get an answer; empty if it may.
+func (x *exchange) defect(response *http.Response, reply platform.ResponseInfo) string {
+	switch {
+	case !reply.Signed:
+		return "answer bears no signature"
+	case answer.IsEncoded(response) && !x.takesEncoded():
+		return "answer is encoded"
+	default:
+		return ""
+	}
+}
+
+// takesEncoded reports whether the caller may get an encoded body: it has asked for one, and the body
+// is not that of an engine, whose events are read on the way.
+func (x *exchange) takesEncoded() bool {
+	encodings := x.r.Header.Get("Accept-Encoding")
+	return x.service.Engine == nil && encodings != "" && encodings != "identity"
+}
+
 // readAnswer reads the body of an answer that is not streamed, and ends the exchange.
 func (x *exchange) readAnswer(e *link.Exchange) ([]byte, error) {
-	answer := &heldReader{Reader: e.Response.Body, exchange: x, left: heldPiece}
-	body, err := io.ReadAll(io.LimitReader(answer, shortAnswerBytes))
+	held := &heldReader{Reader: e.Response.Body, exchange: x, left: heldPiece}
+	body, err := io.ReadAll(io.LimitReader(held, shortAnswerBytes))
 	if err == nil && len(body) == shortAnswerBytes {
-		body, err = x.readLongAnswer(body, answer)
+		body, err = x.readLongAnswer(body, held)
 	}
 	e.Close(time.Now(), err == nil)
 	if err != nil {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -11,7 +11,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/tanagerlb/tanagerlb/internal/answer"
 	"github.com/tanagerlb/tanagerlb/internal/link"
 	"github.com/tanagerlb/tanagerlb/pkg/health"
 	"github.com/tanagerlb/tanagerlb/pkg/roster"
@@ -182,24 +181,6 @@
 	return r
 }
 
-// defect returns why the caller must not get an answer; empty if it may.
-func (x *exchange) defect(response *http.Response, reply platform.ResponseInfo) string {
-	switch {
-	case !reply.Signed:
-		return "answer bears no signature"
-	case answer.IsEncoded(response) && !x.takesEncoded():
-		return "answer is encoded"
-	default:
-		return ""
-	}
-}
-
-// takesEncoded reports whether the caller has asked for encoded bodies.
-func (x *exchange) takesEncoded() bool {
-	encodings := x.r.Header.Get("Accept-Encoding")
-	return encodings != "" && encodings != "identity"
-}
-
 // shouldResend reports whether to send a request again after a failed send. If so,
 // it charges the retry budget, unless no byte of the request reached the upstream.
 func (x *exchange) shouldResend(u roster.Upstream, r result) bool {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -211,12 +211,10 @@
 		return x.handleBroken(slot, "answer does not continue the stream", nil)
 	case e.Response.StatusCode >= http.StatusInternalServerError && x.retryElsewhere(slot, e):
 		return true
-	case !reply.Signed:
-		e.Close(time.Now(), false)
-		return x.handleBroken(slot, "answer bears no signature", nil)
-	case answer.IsEncoded(e.Response):
+	}
+	if reason := x.defect(e.Response, reply); reason != "" {
 		e.Close(time.Now(), false)
-		return x.handleBroken(slot, "answer is encoded", nil)
+		return x.handleBroken(slot, reason, nil)
 	}
 	return x.streamEvents(slot, e, run)
 }
