test: one stand-in that cuts its answers

internal/infer and internal/plain had a server each, serveOnce, that sends a text and ends or resets the connection, which testlib.RawServer does too. testlib.CutAnswer serves both; the pause before a reset is the longer one of the two, 20 ms. A body in one chunk was written in three places, now by testlib.Chunked. Assertions are the same.

Tests of internal/infer (14 s, 6 s before, for the pause), internal/plain, internal/link and platform pass.

--- a/internal/infer/heads_test.go
+++ b/internal/infer/heads_test.go
@@ -1,10 +1,7 @@
 package infer
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -12,32 +9,9 @@
 	"time"
 
 	"github.com/matryer/is"
-)
 
-// serveOnce answers one request with a text, and then closes or resets the connection.
-func serveOnce(t *testing.T, text string, reset bool) netip.AddrPort {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		c, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = c.Close() }()
-		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-			_, _ = io.Copy(io.Discard, r.Body)
-		}
-		_, _ = c.Write([]byte(text))
-		if reset {
-			time.Sleep(time.Millisecond) // lets what was sent arrive
-			_ = c.(*net.TCPConn).SetLinger(0)
-		}
-	}()
-	return netip.MustParseAddrPort(listener.Addr().String())
-}
+	"github.com/tanagerlb/tanagerlb/internal/testlib"
+)
 
 func newTestClient(t *testing.T) *Client {
 	c := NewClient(Config{TokenTimeout: 5 * time.Second, LoadTimeout: 5 * time.Second, RequestTimeout: 5 * time.Second})
@@ -51,7 +25,7 @@
 	size := fmt.Sprintf("Content-Length: %d", len(body))
 	return map[string][2]string{
 		"length":                        {line + size + "\r\n\r\n", body},
-		"chunks":                        {line + "Transfer-Encoding: chunked\r\n\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)},
+		"chunks":                        {line + "Transfer-Encoding: chunked\r\n\r\n", testlib.Chunked(body)},
 		"no framing":                    {line + "X-Any: 1\r\n\r\n", body},
 		"bare line feeds":               {"HTTP/1.1 200 OK\nContent-Type: text/event-stream\n" + size + "\n\n", body},
 		"after an informational answer": {"HTTP/1.1 100 Continue\r\n\r\n" + line + size + "\r\n\r\n", body},
@@ -63,7 +37,7 @@
 func eachCut(t *testing.T, text string, f func(address netip.AddrPort, part string, reset bool)) {
 	for i := range 2 * (len(text) + 1) {
 		part, reset := text[:i/2], i%2 == 1
-		f(serveOnce(t, part, reset), part, reset)
+		f(testlib.CutAnswer(t, part, reset), part, reset)
 	}
 }
 
@@ -141,7 +115,7 @@
 			is := is.New(t)
 			const body = `{"error":"busy"}`
 			text := fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
-			report, err := newTestClient(t).Report(t.Context(), serveOnce(t, text, false))
+			report, err := newTestClient(t).Report(t.Context(), testlib.CutAnswer(t, text, false))
 			is.True(err != nil)
 			is.Equal(report, Report{})
 		})
--- a/internal/plain/head_test.go
+++ b/internal/plain/head_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/tanagerlb/tanagerlb/internal/testlib"
 )
 
 // Guards against a reply that its upstream breaks off, at any byte of its head or body, and that
@@ -30,7 +32,7 @@
 			text := c.head + c.body
 			for i := range 2 * len(text) {
 				cut, reset := i/2, i%2 == 1
-				reply, err := client.Call(t.Context(), serveOnce(t, text[:cut], reset), Call{Name: "x", Body: "b"})
+				reply, err := client.Call(t.Context(), testlib.CutAnswer(t, text[:cut], reset), Call{Name: "x", Body: "b"})
 				if !c.framed && cut >= len(c.head) && !reset { // it ends with its connection
 					is.NoErr(err)
 					is.Equal(reply, Reply{Status: http.StatusOK, Body: text[len(c.head):cut]})
@@ -40,7 +42,7 @@
 					t.Errorf("cut after %q, reset %t: %+v, %v", text[:cut], reset, reply, err)
 				}
 			}
-			reply, err := client.Call(t.Context(), serveOnce(t, text, false), Call{Name: "x", Body: "b"})
+			reply, err := client.Call(t.Context(), testlib.CutAnswer(t, text, false), Call{Name: "x", Body: "b"})
 			is.NoErr(err)
 			is.Equal(reply, Reply{Status: http.StatusOK, Body: "yes"})
 		})
--- a/internal/plain/plain_test.go
+++ b/internal/plain/plain_test.go
@@ -1,41 +1,15 @@
 package plain
 
 import (
-	"bufio"
 	"errors"
-	"net"
 	"net/http"
-	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-)
 
-// serveOnce answers one request with a text, and then closes or resets the connection.
-func serveOnce(t *testing.T, text string, reset bool) netip.AddrPort {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		c, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = c.Close() }()
-		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-			_ = r.Body.Close()
-		}
-		_, _ = c.Write([]byte(text))
-		if reset {
-			time.Sleep(20 * time.Millisecond) // lets what was sent arrive
-			_ = c.(*net.TCPConn).SetLinger(0)
-		}
-	}()
-	return netip.MustParseAddrPort(listener.Addr().String())
-}
+	"github.com/tanagerlb/tanagerlb/internal/testlib"
+)
 
 // An answer may have neither a length nor chunks and end with its connection. One that is
 // reset on the way is not whole.
@@ -54,7 +28,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			client := NewClient(Config{DialTimeout: time.Second})
-			reply, err := client.Call(t.Context(), serveOnce(t, c.text, c.reset), Call{Name: "x", Body: "b"})
+			reply, err := client.Call(t.Context(), testlib.CutAnswer(t, c.text, c.reset), Call{Name: "x", Body: "b"})
 			if !c.whole {
 				is.True(errors.Is(err, ErrIncomplete))
 				return
--- a/internal/testlib/answers.go
+++ b/internal/testlib/answers.go
@@ -64,6 +64,9 @@
 // pieceInterval is the time between two pieces of an answer.
 const pieceInterval = 200 * time.Microsecond
 
+// arrivalTime is how long what was sent may take to arrive before the connection is reset.
+const arrivalTime = 20 * time.Millisecond
+
 // rawAddress differs from the addresses of other listeners, as some tests check that nobody listens on a
 // port that they gave back.
 const rawAddress = "127.0.0.2:0"
@@ -89,6 +92,13 @@
 	return s
 }
 
+// CutAnswer returns the address of a RawServer that sends a text in answer to a request, and then ends or
+// resets the connection.
+func CutAnswer(t testing.TB, text string, reset bool) netip.AddrPort {
+	t.Helper()
+	return NewRawServer(t, RawConfig{Answer: text, End: !reset, Reset: reset, Pause: arrivalTime}).Address
+}
+
 // Requests returns the number of requests that were answered with Answer.
 func (s *RawServer) Requests() int { return int(s.requests.Load()) }
 
@@ -195,8 +205,8 @@
 	}
 	return append(
 		list,
-		RawAnswer{Name: "blank after Transfer-Encoding", Framing: "Transfer-Encoding : chunked\r\n", Body: chunked},
-		RawAnswer{Name: "blank before Transfer-Encoding", Framing: " Transfer-Encoding: chunked\r\n", Body: chunked},
+		RawAnswer{Name: "blank after Transfer-Encoding", Framing: "Transfer-Encoding : chunked\r\n", Body: Chunked},
+		RawAnswer{Name: "blank before Transfer-Encoding", Framing: " Transfer-Encoding: chunked\r\n", Body: Chunked},
 		RawAnswer{Name: "blank after Content-Length", Framing: "Content-Length : 1\r\n"},
 		RawAnswer{Name: "tab before Content-Length", Framing: "\tContent-Length: 1\r\n"},
 	)
@@ -205,9 +215,9 @@
 // MalformedLengths returns answers that do not tell where their bodies end.
 func MalformedLengths() []RawAnswer {
 	return []RawAnswer{
-		{Name: "length and chunks", Framing: "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", Body: chunked},
-		{Name: "chunks in HTTP 1.0", Line: "HTTP/1.0 200 OK", Framing: "Transfer-Encoding: chunked\r\n", Body: chunked},
-		{Name: "length and chunks in HTTP 1.0", Line: "HTTP/1.0 200 OK", Framing: "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", Body: chunked},
+		{Name: "length and chunks", Framing: "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", Body: Chunked},
+		{Name: "chunks in HTTP 1.0", Line: "HTTP/1.0 200 OK", Framing: "Transfer-Encoding: chunked\r\n", Body: Chunked},
+		{Name: "length and chunks in HTTP 1.0", Line: "HTTP/1.0 200 OK", Framing: "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", Body: Chunked},
 		{Name: "two lengths", Framing: "Content-Length: 1\r\nContent-Length: 2\r\n"},
 		{Name: "list of two lengths", Framing: "Content-Length: 1, 2\r\n"},
 		{Name: "length with a sign", Framing: "Content-Length: +1\r\n"},
@@ -215,8 +225,8 @@
 		{Name: "length that is no number", Framing: "Content-Length: 1x\r\n"},
 		{Name: "empty length", Framing: "Content-Length:\r\n"},
 		{Name: "length beyond 64 bits", Framing: "Content-Length: 99999999999999999999\r\n"},
-		{Name: "another encoding", Framing: "Transfer-Encoding: gzip, chunked\r\n", Body: chunked},
-		{Name: "chunked twice", Framing: "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", Body: chunked},
+		{Name: "another encoding", Framing: "Transfer-Encoding: gzip, chunked\r\n", Body: Chunked},
+		{Name: "chunked twice", Framing: "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", Body: Chunked},
 		{Name: "informational answer with a length", Line: "HTTP/1.1 103 Early Hints\r\nContent-Length: 1\r\n\r\nHTTP/1.1 200 OK"},
 		{Name: "informational answer with chunks", Line: "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/1.1 200 OK"},
 	}
@@ -225,14 +235,15 @@
 // MalformedBodies returns answers whose heads are sound.
 func MalformedBodies() []RawAnswer {
 	return []RawAnswer{
-		{Name: "chunk without a size", Framing: "Transfer-Encoding: chunked\r\n", Body: func(content string) string { return "\r\n" + chunked(content) }},
-		{Name: "chunk size with a sign", Framing: "Transfer-Encoding: chunked\r\n", Body: func(content string) string { return "+" + chunked(content) }},
+		{Name: "chunk without a size", Framing: "Transfer-Encoding: chunked\r\n", Body: func(content string) string { return "\r\n" + Chunked(content) }},
+		{Name: "chunk size with a sign", Framing: "Transfer-Encoding: chunked\r\n", Body: func(content string) string { return "+" + Chunked(content) }},
 		{Name: "chunk longer than its size", Framing: "Transfer-Encoding: chunked\r\n", Body: func(content string) string { return "1\r\n" + content + "\r\n0\r\n\r\n" }},
-		{Name: "trailer that is no field", Framing: "Transfer-Encoding: chunked\r\n", Body: func(content string) string { return strings.TrimSuffix(chunked(content), "\r\n") + "X\r\n\r\n" }},
+		{Name: "trailer that is no field", Framing: "Transfer-Encoding: chunked\r\n", Body: func(content string) string { return strings.TrimSuffix(Chunked(content), "\r\n") + "X\r\n\r\n" }},
 	}
 }
 
-func chunked(content string) string {
+// Chunked returns a content as a body in one chunk.
+func Chunked(content string) string {
 	return fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(content), content)
 }
 
