Review: show that ids of requests end entry VMs through the logs

The queue of log lines is bounded by their number. Lines with ids of legal size that are no UTF-8 take 95 kB each.

--- a/review/stand-3/fleet.go
+++ b/review/stand-3/fleet.go
@@ -361,9 +361,10 @@
 	return 0
 }
 
-// end removes the folder.
+// end ends all processes and removes the folder.
 func (f *fleet) end() {
 	close(f.done)
+	killAll()
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(f.folder)
 	} else {
--- a/review/stand-3/memory.go
+++ b/review/stand-3/memory.go
@@ -38,7 +38,7 @@
 
 // playPrefix plays clients whose prompts have very many empty parts.
 func playPrefix(r *record, trouble bool) (int, error) {
-	return playMemory(r, crowd{path: enginePath, memoryMb: smallMachine, clients: 24, next: func() map[string]string {
+	return playMemory(r, crowd{path: enginePath, memoryMb: smallMachine, clients: 6, next: func() map[string]string {
 		header := map[string]string{"Model": model, "Token-Usage": "646,70", "Prompt-Prefix": ordinaryPrompt(), "Deadline-Ms": "10000"}
 		if trouble {
 			header["Prompt-Prefix"] = emptyParts()
@@ -97,7 +97,10 @@
 		return failed, err
 	}
 	time.Sleep(4 * time.Second) // the VMs claim the engines
-	r.write("%d VMs are ready; clients begin", memoryVMs)
+	r.write("%d VMs are ready; %d clients of each begin to send requests like this one:", memoryVMs, c.clients)
+	for name, value := range c.next() {
+		r.write("POST %s, %s: %.60q, %d bytes", c.path, name, value, len(value))
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), memoryTime)
 	defer cancel()
 	var wg sync.WaitGroup
