--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -53,6 +53,7 @@
 
 // cases holds the scripts by name.
 var cases = map[string]func(r *record, trouble bool) (int, error){
-	"ids":   playIDs,
-	"parts": playParts,
+	"ids":      playIDs,
+	"parts":    playParts,
+	"sessions": playSessions,
 }
